--- /dev/null
+++ b/source/common/src/hash.cpp
@@ -0,0 +1,55 @@
+#include <redwingwind/common/hash.hpp>
+
+#include <absl/strings/escaping.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace redwingwind {
+
+std::uint64_t digest(std::string_view bytes, std::uint64_t seed) {
+    return XXH64(bytes.data(), bytes.size(), seed);
+}
+
+std::string authenticate(std::string_view key, std::string_view bytes) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> buf{};
+    unsigned int n = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+         buf.data(), &n);
+    return {reinterpret_cast<const char*>(buf.data()), n};
+}
+
+std::string secure_digest(std::string_view bytes) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> buf{};
+    unsigned int n = 0;
+    EVP_Digest(bytes.data(), bytes.size(), buf.data(), &n, EVP_sha256(),
+               nullptr);
+    return to_hex({reinterpret_cast<const char*>(buf.data()), n});
+}
+
+bool same_bytes(std::string_view a, std::string_view b) {
+    return a.size() == b.size() &&
+           CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string to_hex(std::string_view bytes) {
+    return absl::BytesToHexString(
+        absl::string_view(bytes.data(), bytes.size()));
+}
+
+std::string from_hex(std::string_view text) {
+    const bool digits = std::all_of(text.begin(), text.end(), [](char c) {
+        return std::isxdigit(static_cast<unsigned char>(c)) != 0;
+    });
+    if (!digits || text.size() % 2 != 0)
+        return {};
+    return absl::HexStringToBytes(absl::string_view(text.data(), text.size()));
+}
+
+} // namespace redwingwind
--- /dev/null
+++ b/source/common/src/settings.cpp
@@ -0,0 +1,84 @@
+#include <redwingwind/common/settings.hpp>
+
+#include <absl/flags/commandlineflag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <redwingwind/common/error.hpp>
+
+#include <algorithm>
+#include <cstring>
+#include <unistd.h>
+
+namespace redwingwind {
+namespace {
+
+constexpr absl::string_view prefix = "RWW_";
+
+absl::Status apply_variable(absl::string_view entry) {
+    const auto equals = entry.find('=');
+    const auto name = entry.substr(0, equals);
+    const auto value = entry.substr(equals + 1);
+    const auto key = absl::AsciiStrToLower(name.substr(prefix.size()));
+    auto* flag = absl::FindCommandLineFlag(key);
+    if (flag == nullptr || flag->IsRetired())
+        return make_error(error_code::bad_input,
+                          absl::StrCat("unknown variable ", name,
+                                       "; --help lists the settings"));
+    std::string why;
+    if (!flag->ParseFrom(value, &why))
+        return make_error(error_code::bad_input,
+                          absl::StrCat(name, "=", value, ": ", why));
+    return absl::OkStatus();
+}
+
+absl::Status apply_environment() {
+    for (char** it = environ; *it != nullptr; ++it) {
+        const absl::string_view entry(*it);
+        if (entry.substr(0, prefix.size()) != prefix)
+            continue;
+        if (auto status = apply_variable(entry); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+void use_underscores(char* argument) {
+    if (std::strncmp(argument, "--", 2) != 0)
+        return;
+    for (char* it = argument + 2; *it != '\0' && *it != '='; ++it)
+        if (*it == '-')
+            *it = '_';
+}
+
+absl::Status check_range(const setting_range& range) {
+    auto* flag = absl::FindCommandLineFlag(range.flag);
+    if (flag == nullptr)
+        return make_error(error_code::internal, range.flag);
+    const auto value = std::stoll(flag->CurrentValue());
+    if (value >= range.least && value <= range.most)
+        return absl::OkStatus();
+    return make_error(error_code::bad_input,
+                      absl::StrCat("--", range.flag, "=", value,
+                                   ": allowed is ", range.least, " to ",
+                                   range.most));
+}
+
+} // namespace
+
+absl::Status read_settings(int argc, char** argv,
+                           const std::vector<setting_range>& ranges,
+                           std::vector<std::string>& rest) {
+    if (auto status = apply_environment(); !status.ok())
+        return status;
+    std::for_each(argv + 1, argv + argc, use_underscores);
+    const auto left = absl::ParseCommandLine(argc, argv);
+    rest.assign(left.begin() + 1, left.end());
+    for (const auto& range : ranges)
+        if (auto status = check_range(range); !status.ok())
+            return status;
+    return absl::OkStatus();
+}
+
+} // namespace redwingwind
--- /dev/null
+++ b/source/coordination/include/redwingwind/coordination/member.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <redwingwind/common/identifiers.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace redwingwind::coordination {
+
+/// An IP number with a port that is the same for TCP and UDP.
+struct address {
+    std::string ip;
+    std::uint16_t port{};
+
+    auto operator<=>(const address&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(ip, port);
+    }
+};
+
+std::string to_string(const address& a);
+
+/// Reads "IP:PORT"; port 0 when the text is none.
+address parse_address(const std::string& text);
+
+enum class member_state : std::uint8_t { alive, suspect, dead, left };
+enum class target_state : std::uint8_t { absent, ready, draining };
+
+std::string to_string(member_state state);
+std::string to_string(target_state state);
+
+/// What the deployment knows of one node. Only the node itself raises the
+/// version; others change the state.
+struct member_record {
+    node_life id;
+    std::uint32_t version{};
+    member_state state{member_state::alive};
+    address where;
+    region_name region;
+    domain_name domain;
+    service_name service;
+    std::uint32_t slots{};
+    target_state target{target_state::absent};
+
+    auto operator<=>(const member_record&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(id, version, state, where, region, domain, service, slots, target);
+    }
+};
+
+/// True when a replaces b as news of the same node: a later incarnation, a
+/// later version of it, or a graver state. Nothing of the same incarnation
+/// replaces left.
+bool supersedes(const member_record& a, const member_record& b);
+
+constexpr bool is_gone(member_state state) {
+    return state == member_state::dead || state == member_state::left;
+}
+
+} // namespace redwingwind::coordination
--- /dev/null
+++ b/source/coordination/include/redwingwind/coordination/messages.hpp
@@ -0,0 +1,241 @@
+#pragma once
+
+#include <redwingwind/common/error.hpp>
+#include <redwingwind/common/identifiers.hpp>
+#include <redwingwind/coordination/codec.hpp>
+#include <redwingwind/coordination/member.hpp>
+#include <redwingwind/overload/balancer.hpp>
+#include <redwingwind/overload/importance.hpp>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace redwingwind::coordination {
+
+/// What a caller is told of its request.
+enum class outcome : std::uint8_t { done, not_run, unknown };
+
+std::string_view to_string(outcome o);
+
+// Datagrams -----------------------------------------------------------------
+
+enum class probe_kind : std::uint8_t {
+    probe,
+    answer,
+    relay,
+    news,
+    /// Asks which generation of the first graph in configs is in force.
+    census,
+    census_answer
+};
+
+/// A generation of a graph's configuration that the sender holds.
+struct config_news {
+    graph_name graph;
+    std::uint64_t generation{};
+
+    auto operator<=>(const config_news&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(graph, generation);
+    }
+};
+
+/// The one kind of datagram: a probe, its answer, a request to probe the
+/// subject for the sender, or news alone.
+struct datagram {
+    probe_kind kind{probe_kind::news};
+    std::uint64_t sequence{};
+    node_name subject;
+    member_record sender;
+    std::uint64_t member_digest{};
+    std::uint64_t config_digest{};
+    std::vector<member_record> members;
+    std::vector<config_news> configs;
+
+    auto operator<=>(const datagram&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(kind, sequence, subject, sender, member_digest, config_digest,
+           members, configs);
+    }
+};
+
+// Frames --------------------------------------------------------------------
+
+/// The first frame on a connection, both ways.
+struct hello_frame {
+    node_life node;
+    std::uint64_t nonce{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(node, nonce);
+    }
+};
+
+/// A call for the receiver's target, or for a ticket's home.
+struct call_frame {
+    std::uint64_t sequence{};
+    request_id id;
+    request_id root;
+    owner_name owner;
+    service_name service;
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string body;
+    std::string ticket;
+    overload::importance kind{};
+    bool is_idempotent{true};
+    bool is_for_home{false};
+    std::uint32_t attempt{};
+    std::uint32_t retry_budget{};
+    std::uint32_t time_left_ms{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence, id, root, owner, service, method, path, content_type, body,
+           ticket, kind, is_idempotent, is_for_home, attempt, retry_budget,
+           time_left_ms);
+    }
+};
+
+struct reply_frame {
+    std::uint64_t sequence{};
+    outcome what{outcome::unknown};
+    error_code why{};
+    std::uint16_t status{};
+    std::string content_type;
+    std::string body;
+    std::uint64_t body_digest{};
+    std::uint32_t retry_budget_left{};
+    /// Highest admission level on the way below this call.
+    std::uint16_t level{};
+    overload::load_report load;
+    bool is_leaving{};
+    /// Time the target worked on the call.
+    std::uint64_t slot_time_us{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence, what, why, status, content_type, body, body_digest,
+           retry_budget_left, level, load, is_leaving, slot_time_us);
+    }
+};
+
+/// Asks that the call with this sequence, of this sender, be stopped.
+struct cancel_frame {
+    std::uint64_t sequence{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence);
+    }
+};
+
+/// never_started means that the call did not start and never will.
+struct cancel_reply_frame {
+    std::uint64_t sequence{};
+    bool never_started{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence, never_started);
+    }
+};
+
+/// Asks a ticket's home to make sure that the ticket is never used; answered
+/// by a reply_frame.
+struct ticket_cancel_frame {
+    std::uint64_t sequence{};
+    std::string ticket;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence, ticket);
+    }
+};
+
+/// One page of the sender's view; wants_answer asks for the receiver's.
+struct view_frame {
+    std::vector<member_record> members;
+    bool wants_answer{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(members, wants_answer);
+    }
+};
+
+/// Which generations the sender holds; the receiver sends what is newer and
+/// asks for what is older.
+struct config_summary_frame {
+    std::vector<config_news> held;
+    bool wants_answer{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(held, wants_answer);
+    }
+};
+
+struct config_frame {
+    graph_name graph;
+    std::uint64_t generation{};
+    std::string change_id;
+    std::string body;
+
+    auto operator<=>(const config_frame&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(graph, generation, change_id, body);
+    }
+};
+
+/// Cumulative counters of one life of a node, for the roll-up of usage.
+struct usage_row {
+    node_life node;
+    owner_name owner;
+    service_name service;
+    overload::importance kind{};
+    /// True for the side that executed, false for the side that called.
+    bool is_executing_side{};
+    std::uint64_t calls{};
+    std::uint64_t refused{};
+    std::uint64_t slot_time_us{};
+    std::uint64_t wasted_us{};
+    std::uint64_t bytes{};
+
+    auto operator<=>(const usage_row&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(node, owner, service, kind, is_executing_side, calls, refused,
+           slot_time_us, wasted_us, bytes);
+    }
+};
+
+struct usage_frame {
+    std::vector<usage_row> rows;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(rows);
+    }
+};
+
+using frame = std::variant<hello_frame, call_frame, reply_frame, cancel_frame,
+                           cancel_reply_frame, ticket_cancel_frame, view_frame,
+                           config_summary_frame, config_frame, usage_frame>;
+
+} // namespace redwingwind::coordination
--- /dev/null
+++ b/source/coordination/src/config_spread.cpp
@@ -0,0 +1,91 @@
+#include <redwingwind/coordination/config_spread.hpp>
+
+#include <redwingwind/common/hash.hpp>
+
+#include <algorithm>
+
+namespace redwingwind::coordination {
+namespace {
+
+/// News of one change comes from several peers; one of them is asked, and
+/// the next after this time.
+constexpr auto ask_again_after = std::chrono::milliseconds(300);
+
+std::uint64_t news_digest(const config_frame& config) {
+    return digest(config.graph.value, config.generation);
+}
+
+} // namespace
+
+std::uint64_t config_spread::generation_of(const graph_name& graph) const {
+    const auto* known = find(graph);
+    return known == nullptr ? 0 : known->generation;
+}
+
+const config_frame* config_spread::find(const graph_name& graph) const {
+    const auto it = in_force_.find(graph);
+    return it == in_force_.end() ? nullptr : &it->second;
+}
+
+std::vector<config_news> config_spread::held() const {
+    std::vector<config_news> all;
+    for (const auto& [graph, it] : in_force_)
+        all.push_back({graph, it.generation});
+    return all;
+}
+
+bool config_spread::offer(const config_frame& config) {
+    if (config.generation <= generation_of(config.graph))
+        return false;
+    auto& known = in_force_[config.graph];
+    if (known.generation > 0)
+        digest_ ^= news_digest(known);
+    known = config;
+    digest_ ^= news_digest(known);
+    asked_.erase(config.graph);
+    hooks_.on_accept(config);
+    hooks_.spread({config.graph, config.generation});
+    return true;
+}
+
+void config_spread::on_news(time_point now, const member_record& from,
+                            const config_news& news) {
+    if (news.generation <= generation_of(news.graph))
+        return;
+    const auto it = asked_.find(news.graph);
+    if (it != asked_.end() && now - it->second < ask_again_after)
+        return;
+    asked_[news.graph] = now;
+    config_summary_frame request;
+    request.held.push_back({news.graph, generation_of(news.graph)});
+    hooks_.send(from, request);
+}
+
+void config_spread::exchange(const member_record& with) {
+    hooks_.send(with, config_summary_frame{held(), true});
+}
+
+void config_spread::on_summary(const member_record& from,
+                               const config_summary_frame& summary) {
+    config_summary_frame wanted;
+    for (const auto& it : summary.held) {
+        const auto* known = find(it.graph);
+        if (known != nullptr && known->generation > it.generation)
+            hooks_.send(from, *known);
+        if (generation_of(it.graph) < it.generation)
+            wanted.held.push_back({it.graph, generation_of(it.graph)});
+    }
+    if (!summary.wants_answer)
+        return;
+    for (const auto& [graph, known] : in_force_) {
+        const bool is_listed = std::any_of(
+            summary.held.begin(), summary.held.end(),
+            [&](const config_news& it) { return it.graph == known.graph; });
+        if (!is_listed)
+            hooks_.send(from, known);
+    }
+    if (!wanted.held.empty())
+        hooks_.send(from, wanted);
+}
+
+} // namespace redwingwind::coordination
--- /dev/null
+++ b/source/coordination/src/member.cpp
@@ -0,0 +1,58 @@
+#include <redwingwind/coordination/member.hpp>
+
+#include <absl/strings/numbers.h>
+
+namespace redwingwind::coordination {
+
+std::string to_string(const address& a) {
+    return a.ip + ":" + std::to_string(a.port);
+}
+
+address parse_address(const std::string& text) {
+    const auto colon = text.rfind(':');
+    std::uint32_t port = 0;
+    if (colon == std::string::npos ||
+        !absl::SimpleAtoi(text.substr(colon + 1), &port) || port > 65535)
+        return {};
+    return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+std::string to_string(member_state state) {
+    switch (state) {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::dead:
+        return "dead";
+    case member_state::left:
+        break;
+    }
+    return "left";
+}
+
+std::string to_string(target_state state) {
+    switch (state) {
+    case target_state::absent:
+        return "absent";
+    case target_state::ready:
+        return "ready";
+    case target_state::draining:
+        break;
+    }
+    return "draining";
+}
+
+bool supersedes(const member_record& a, const member_record& b) {
+    if (a.id.life != b.id.life)
+        return a.id.life > b.id.life;
+    if (b.state == member_state::left)
+        return false;
+    if (a.state == member_state::left)
+        return true;
+    if (a.version != b.version)
+        return a.version > b.version;
+    return a.state > b.state;
+}
+
+} // namespace redwingwind::coordination
--- /dev/null
+++ b/source/coordination/src/rendezvous.cpp
@@ -0,0 +1,27 @@
+#include <redwingwind/coordination/rendezvous.hpp>
+
+#include <redwingwind/common/hash.hpp>
+
+#include <algorithm>
+
+namespace redwingwind::coordination {
+
+std::vector<node_name> choose_holders(const std::vector<node_name>& nodes,
+                                      std::string_view duty,
+                                      std::size_t count) {
+    const auto seed = digest(duty);
+    const auto before = [seed](const node_name& a, const node_name& b) {
+        const auto x = digest(a.value, seed);
+        const auto y = digest(b.value, seed);
+        return x != y ? x > y : a < b;
+    };
+    auto chosen = nodes;
+    const auto n = std::min(count, chosen.size());
+    std::partial_sort(chosen.begin(),
+                      chosen.begin() + static_cast<std::ptrdiff_t>(n),
+                      chosen.end(), before);
+    chosen.resize(n);
+    return chosen;
+}
+
+} // namespace redwingwind::coordination
--- /dev/null
+++ b/source/engine/include/redwingwind/engine/executor.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/engine/arrival_log.hpp>
+#include <redwingwind/engine/call.hpp>
+#include <redwingwind/engine/target_result.hpp>
+#include <redwingwind/overload/admission.hpp>
+#include <redwingwind/overload/policy.hpp>
+#include <redwingwind/overload/retry_ledger.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace redwingwind::engine {
+
+struct executor_options {
+    overload::control_mode mode{overload::control_mode::full};
+    /// A target that is leaving gets no call after this time.
+    duration drain_grace{std::chrono::milliseconds(500)};
+    std::uint32_t most_executions{20000};
+};
+
+/// What the local target told of itself.
+struct target_announcement {
+    /// Differs between lives of the target.
+    std::string instance;
+    service_name service;
+    std::uint32_t slots{1};
+    duration warm_up{std::chrono::seconds(1)};
+
+    auto operator<=>(const target_announcement&) const = default;
+};
+
+struct executor_counters {
+    std::uint64_t arrived{};
+    std::uint64_t duplicates{};
+    std::uint64_t started{};
+    std::uint64_t refused{};
+    std::uint64_t cancelled{};
+    std::uint64_t stopped{};
+};
+
+/// What was used for one call, for metering on this side.
+struct execution_usage {
+    owner_name owner;
+    service_name service;
+    overload::importance kind{};
+    bool was_refused{};
+    bool was_wasted{};
+    duration slot_time{};
+    std::uint64_t bytes{};
+};
+
+/// Runs calls on the local target: admits, starts, stops and answers them.
+/// All that the target gets passes here, so whether a call ran is known.
+class executor {
+  public:
+    struct hooks {
+        std::function<void(std::uint64_t execution, const call_request&,
+                           const call_context&)>
+            dispatch;
+        std::function<void(std::uint64_t execution)> stop;
+        std::function<void(const call_origin&,
+                           const coordination::reply_frame&)>
+            reply;
+        std::function<void(const execution_usage&)> meter;
+    };
+
+    executor(executor_options options, incarnation life, hooks h);
+
+    void set_policy(const overload::graph_policy& policy);
+    /// False when nothing changed. Another life of the target ends a drain.
+    bool set_target(time_point now, const target_announcement& announcement);
+    /// The target tells nothing any more: no new work for it.
+    void lose_target();
+    void drain(time_point now);
+    bool is_draining() const { return drain_since_.has_value(); }
+
+    /// A call for the local target; the answer goes to hooks.reply.
+    void arrive(time_point now, const call_origin& origin,
+                const call_request& request);
+
+    /// The caller wants the call no more. True when it did not start and
+    /// never will.
+    bool cancel(time_point now, const call_origin& origin);
+
+    void on_target_result(time_point now, std::uint64_t execution,
+                          const target_result& result);
+
+    void tick(time_point now);
+
+    // For the calls that an execution makes.
+    bool is_running(std::uint64_t execution) const;
+    std::uint32_t lend(std::uint64_t execution);
+    void give_back(std::uint64_t execution, std::uint32_t lent,
+                   std::uint32_t left);
+    void note_level(std::uint64_t execution, overload::rank level);
+
+    std::size_t running() const;
+    std::size_t queued() const;
+    std::uint32_t limit(time_point now) const;
+    overload::rank level() const;
+    const executor_counters& counters() const { return counters_; }
+    const std::optional<target_announcement>& target() const { return target_; }
+
+  private:
+    struct execution {
+        call_origin origin;
+        call_request request;
+        overload::retry_ledger ledger;
+        overload::rank level_below;
+        time_point started;
+        bool is_running{};
+        bool is_unwanted{};
+    };
+
+    void rebuild_admission(time_point now);
+    void apply(time_point now, const overload::admission_steps& steps);
+    void start(time_point now, std::uint64_t id);
+    void refuse(time_point now, std::uint64_t id, error_code why);
+    void stop(time_point now, std::uint64_t id);
+    bool accepts_work(time_point now) const;
+    void refuse_unadmitted(time_point now, const call_origin& origin,
+                           const call_request& request, error_code why);
+    void finish(time_point now, std::uint64_t id,
+                coordination::reply_frame reply, duration slot_time);
+    void fill_load(time_point now, coordination::reply_frame& reply) const;
+
+    executor_options options_;
+    incarnation life_;
+    hooks hooks_;
+    overload::graph_policy policy_;
+    std::optional<target_announcement> target_;
+    std::optional<time_point> drain_since_;
+    std::optional<overload::admission> admission_;
+    arrival_log arrivals_;
+    std::uint64_t next_id_{1};
+    std::unordered_map<std::uint64_t, execution> executions_;
+    std::map<call_origin, std::uint64_t> by_origin_;
+    executor_counters counters_;
+};
+
+} // namespace redwingwind::engine
--- /dev/null
+++ b/source/engine/include/redwingwind/engine/node_core.hpp
@@ -0,0 +1,200 @@
+#pragma once
+
+#include <redwingwind/coordination/config_spread.hpp>
+#include <redwingwind/coordination/keyring.hpp>
+#include <redwingwind/coordination/membership.hpp>
+#include <redwingwind/engine/caller.hpp>
+#include <redwingwind/engine/executor.hpp>
+#include <redwingwind/engine/pipeline.hpp>
+#include <redwingwind/engine/ticket_desk.hpp>
+#include <redwingwind/usage/meter.hpp>
+#include <redwingwind/usage/roll_up.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace redwingwind::engine {
+
+struct core_options {
+    coordination::member_record self;
+    /// The graph whose policy this node applies.
+    graph_name graph;
+    overload::control_mode mode{overload::control_mode::full};
+    caller_options calls;
+    executor_options executions;
+    overload::balancer_options balance;
+    coordination::membership_options membership;
+    coordination::ticket_table_options tickets;
+    /// A target that did not announce itself for this long counts as gone.
+    duration announce_timeout{std::chrono::seconds(10)};
+    duration usage_period{std::chrono::seconds(10)};
+};
+
+enum class core_event_kind : std::uint8_t {
+    member_changed,
+    config_in_force,
+    config_rejected,
+    target_announced,
+    target_lost,
+    draining,
+    left
+};
+
+std::string_view to_string(core_event_kind kind);
+
+/// Something that an operator may want to read in the log.
+struct core_event {
+    core_event_kind kind{};
+    std::string subject;
+    std::string detail;
+};
+
+/// All that a node decides, without I/O: calls, frames, datagrams, target
+/// results and time come in; the hooks carry out what follows. Not for use by
+/// several threads at once.
+class node_core {
+  public:
+    struct hooks {
+        std::function<void(const coordination::address&,
+                           const coordination::datagram&)>
+            send_datagram;
+        /// Over a connection that this node opens.
+        std::function<void(const coordination::member_record&,
+                           const coordination::frame&)>
+            send_frame;
+        /// Over the connection that the other node opened, if it is there.
+        std::function<void(const node_life&, const coordination::frame&)>
+            send_back;
+        std::function<void(std::uint64_t execution, const call_request&,
+                           const call_context&)>
+            dispatch;
+        std::function<void(std::uint64_t execution)> stop;
+        /// Connections to this life of a node are of no more use.
+        std::function<void(const node_life&)> drop_links;
+        std::function<void(const core_event&)> on_event;
+        random_hook random;
+    };
+
+    node_core(core_options options, coordination::keyring keys, hooks h);
+    node_core(const node_core&) = delete;
+    node_core& operator=(const node_core&) = delete;
+
+    /// A call from a caller or from the local target. Returns a number for
+    /// abandon(); 0 when the answer was given at once.
+    std::uint64_t on_call(time_point now, const raw_call& call,
+                          reply_hook on_reply);
+    void abandon(time_point now, std::uint64_t call);
+
+    void on_frame(time_point now, const node_life& from,
+                  const coordination::frame& message);
+    void on_datagram(time_point now, const coordination::address& from,
+                     const coordination::datagram& message);
+    void on_link_down(time_point now, const node_life& node,
+                      bool was_connected);
+    void on_target_result(time_point now, std::uint64_t execution,
+                          const target_result& result);
+
+    void announce(time_point now, const target_announcement& announcement);
+    void drain(time_point now);
+    /// A planned stop: tells the others that this node is gone.
+    void leave(time_point now);
+
+    std::vector<std::string> mint_tickets(time_point now, std::size_t count);
+    void cancel_ticket(time_point now, const std::string& ticket,
+                       reply_hook on_reply);
+
+    /// Asks all nodes which generation of a graph they have in force.
+    void start_census(const graph_name& graph);
+    struct census_result {
+        std::size_t asked{};
+        std::size_t answered{};
+        /// Nodes with this generation or a newer one, this node included.
+        std::size_t in_force{};
+    };
+    census_result count_census(const graph_name& graph,
+                               std::uint64_t generation) const;
+
+    /// A configuration from the store. False when it is not newer.
+    bool offer_config(const coordination::config_frame& config);
+    void add_contact(const coordination::address& contact);
+
+    void tick(time_point now);
+    time_point next_due(time_point now) const;
+
+    /// True when nothing is in flight here, in either direction.
+    bool is_idle() const;
+    bool is_draining() const { return executor_.is_draining(); }
+
+    nlohmann::json status(time_point now) const;
+
+    const coordination::membership& members() const { return members_; }
+    const coordination::config_spread& configs() const { return configs_; }
+    const caller& calls() const { return caller_; }
+    const executor& executions() const { return executor_; }
+    const ticket_desk& tickets() const { return tickets_; }
+    usage::meter& meter() { return meter_; }
+    /// Takes the rows that other nodes reported to this one.
+    usage::roll_up take_reported_usage();
+    const usage::meter& meter() const { return meter_; }
+
+  private:
+    void send(const node_life& to, const coordination::frame& message);
+    std::optional<node_life> life_of(const node_name& node) const;
+    void receive(time_point now, const node_life& from,
+                 const coordination::call_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::reply_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::cancel_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::cancel_reply_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::ticket_cancel_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::view_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::config_summary_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::config_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::usage_frame& frame);
+    void receive(time_point now, const node_life& from,
+                 const coordination::hello_frame& frame);
+    void answer(const node_life& to, std::uint64_t sequence,
+                const call_reply& reply);
+    void send_view(const coordination::member_record& to, bool wants_answer);
+    void on_config(const coordination::config_frame& config);
+    void report_usage(time_point now);
+    void tell(core_event_kind kind, const std::string& subject,
+              const std::string& detail = {});
+
+    coordination::membership::hooks member_hooks();
+    coordination::config_spread::hooks config_hooks();
+    executor::hooks executor_hooks();
+    caller::hooks caller_hooks();
+
+    core_options options_;
+    coordination::keyring keys_;
+    hooks hooks_;
+    time_point now_{};
+    overload::graph_policy policy_;
+    call_router router_;
+    executor executor_;
+    caller caller_;
+    ticket_desk tickets_;
+    coordination::membership members_;
+    coordination::config_spread configs_;
+    usage::meter meter_;
+    usage::roll_up reported_;
+    std::map<node_life, coordination::config_news> census_;
+    std::size_t census_asked_{};
+    std::optional<time_point> last_announced_;
+    time_point next_usage_{};
+};
+
+} // namespace redwingwind::engine
--- /dev/null
+++ b/source/engine/include/redwingwind/engine/ticket_desk.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <redwingwind/coordination/ticket.hpp>
+#include <redwingwind/engine/call.hpp>
+#include <redwingwind/engine/caller.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace redwingwind::engine {
+
+struct ticket_counters {
+    std::uint64_t minted{};
+    std::uint64_t dispatched{};
+    std::uint64_t repeated{};
+    std::uint64_t refused{};
+    std::uint64_t cancelled{};
+};
+
+/// Handles requests that carry a ticket: at the ticket's home it dispatches
+/// each once and answers resends from memory, elsewhere it sends them home.
+class ticket_desk {
+  public:
+    ticket_desk(coordination::ticket_table_options options, node_life self,
+                const coordination::keyring& keys, caller& calls);
+
+    std::vector<std::string> mint(time_point now, std::size_t count);
+
+    /// A request with a ticket, from a caller or from another node.
+    void submit(time_point now, const call_request& request,
+                reply_hook on_reply);
+
+    /// Done when the ticket will never be used, unknown when it was.
+    void cancel(time_point now, const call_request& request,
+                reply_hook on_reply);
+
+    void tick(time_point now);
+    std::size_t size() const { return table_.size(); }
+    const ticket_counters& counters() const { return counters_; }
+
+  private:
+    struct waiter {
+        call_request request;
+        reply_hook on_reply;
+    };
+
+    void dispatch(time_point now, const coordination::ticket& t,
+                  const call_request& request, reply_hook on_reply);
+    void on_answer(const coordination::ticket& t, const call_reply& reply);
+
+    node_life self_;
+    const coordination::keyring& keys_;
+    caller& calls_;
+    coordination::ticket_table table_;
+    std::unordered_map<std::uint64_t, std::vector<waiter>> waiters_;
+    ticket_counters counters_;
+};
+
+} // namespace redwingwind::engine
--- /dev/null
+++ b/source/engine/src/node_core.cpp
@@ -0,0 +1,580 @@
+#include <redwingwind/engine/node_core.hpp>
+
+#include <redwingwind/common/hash.hpp>
+#include <redwingwind/coordination/rendezvous.hpp>
+#include <redwingwind/policy/graph_document.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingwind::engine {
+namespace {
+
+using coordination::member_record;
+using coordination::target_state;
+
+/// How often waiting calls are looked through while there are any.
+constexpr auto queue_interval = std::chrono::milliseconds(10);
+constexpr auto housekeeping_interval = std::chrono::milliseconds(250);
+constexpr std::size_t records_per_view_frame = 1000;
+constexpr std::size_t usage_holders = 2;
+constexpr std::size_t rows_per_usage_frame = 1000;
+
+call_request request_of(const coordination::call_frame& frame, time_point now) {
+    call_request request;
+    request.id = frame.id;
+    request.root = frame.root;
+    request.owner = frame.owner;
+    request.service = frame.service;
+    request.method = frame.method;
+    request.path = frame.path;
+    request.content_type = frame.content_type;
+    request.body = frame.body;
+    request.ticket = frame.ticket;
+    request.kind = frame.kind;
+    request.is_idempotent = frame.is_idempotent;
+    request.deadline = now + std::chrono::milliseconds(frame.time_left_ms);
+    request.attempt = frame.attempt;
+    request.retry_budget = frame.retry_budget;
+    return request;
+}
+
+std::string make_request_id(const random_hook& random) {
+    return absl::StrCat(absl::Hex(random(), absl::kZeroPad16),
+                        absl::Hex(random(), absl::kZeroPad16));
+}
+
+} // namespace
+
+std::string_view to_string(core_event_kind kind) {
+    switch (kind) {
+    case core_event_kind::member_changed:
+        return "member_changed";
+    case core_event_kind::config_in_force:
+        return "config_in_force";
+    case core_event_kind::config_rejected:
+        return "config_rejected";
+    case core_event_kind::target_announced:
+        return "target_announced";
+    case core_event_kind::target_lost:
+        return "target_lost";
+    case core_event_kind::draining:
+        return "draining";
+    case core_event_kind::left:
+        break;
+    }
+    return "left";
+}
+
+node_core::node_core(core_options options, coordination::keyring keys, hooks h)
+    : options_(std::move(options)), keys_(std::move(keys)),
+      hooks_(std::move(h)), router_(options_.balance, options_.self.id.name,
+                                    options_.self.region, options_.self.domain),
+      executor_(options_.executions, options_.self.id.life, executor_hooks()),
+      caller_(options_.calls, router_, caller_hooks()),
+      tickets_(options_.tickets, options_.self.id, keys_, caller_),
+      members_(options_.membership, options_.self, member_hooks()),
+      configs_(config_hooks()), meter_(options_.self.id) {}
+
+// Wiring ----------------------------------------------------------------------
+
+coordination::membership::hooks node_core::member_hooks() {
+    coordination::membership::hooks h;
+    h.send = hooks_.send_datagram;
+    h.exchange_views = [this](const member_record& with) {
+        send_view(with, true);
+    };
+    h.on_change = [this](const member_record& record) {
+        router_.on_member(record);
+        if (coordination::is_gone(record.state) && hooks_.drop_links)
+            hooks_.drop_links(record.id);
+        tell(core_event_kind::member_changed, record.id.name.value,
+             to_string(record.state) + ", target " + to_string(record.target));
+    };
+    h.on_config = [this](const member_record& from,
+                         const coordination::config_news& news) {
+        configs_.on_news(now_, from, news);
+    };
+    h.on_config_mismatch = [this](const member_record& from) {
+        configs_.exchange(from);
+    };
+    h.generation_of = [this](const graph_name& graph) {
+        const auto* config = configs_.find(graph);
+        return config == nullptr ? std::uint64_t{0} : config->generation;
+    };
+    h.on_census = [this](const node_life& node,
+                         const coordination::config_news& news) {
+        census_[node] = news;
+    };
+    h.random = hooks_.random;
+    return h;
+}
+
+coordination::config_spread::hooks node_core::config_hooks() {
+    coordination::config_spread::hooks h;
+    h.send = [this](const member_record& to,
+                    const coordination::frame& message) {
+        hooks_.send_frame(to, message);
+    };
+    h.spread = [this](const coordination::config_news& news) {
+        members_.set_config_digest(configs_.content_digest());
+        members_.spread(news);
+    };
+    h.on_accept = [this](const coordination::config_frame& config) {
+        on_config(config);
+    };
+    return h;
+}
+
+executor::hooks node_core::executor_hooks() {
+    executor::hooks h;
+    h.dispatch = hooks_.dispatch;
+    h.stop = hooks_.stop;
+    h.reply = [this](const call_origin& origin,
+                     const coordination::reply_frame& reply) {
+        if (origin.caller == options_.self.id)
+            caller_.on_reply(now_, options_.self.id, reply);
+        else
+            hooks_.send_back(origin.caller, reply);
+    };
+    h.meter = [this](const execution_usage& use) {
+        meter_.add({use.owner, use.service, use.kind, true, use.was_refused,
+                    use.was_wasted,
+                    static_cast<std::uint64_t>(use.slot_time.count()),
+                    use.bytes});
+    };
+    return h;
+}
+
+caller::hooks node_core::caller_hooks() {
+    caller::hooks h;
+    h.life_of = [this](const node_name& node) { return life_of(node); };
+    h.send = [this](const node_life& to, const coordination::frame& message) {
+        send(to, message);
+    };
+    h.lend = [this](std::uint64_t id) { return executor_.lend(id); };
+    h.give_back = [this](std::uint64_t id, std::uint32_t lent,
+                         std::uint32_t left) {
+        executor_.give_back(id, lent, left);
+    };
+    h.note_level = [this](std::uint64_t id, overload::rank level) {
+        executor_.note_level(id, level);
+    };
+    h.meter = [this](const call_usage& use) {
+        meter_.add({use.owner, use.service, use.kind, false, use.was_refused,
+                    use.was_wasted, use.slot_time_us, use.bytes});
+    };
+    h.random = hooks_.random;
+    return h;
+}
+
+std::optional<node_life> node_core::life_of(const node_name& node) const {
+    const auto* record = members_.find(node);
+    if (record == nullptr || coordination::is_gone(record->state))
+        return std::nullopt;
+    return record->id;
+}
+
+void node_core::send(const node_life& to, const coordination::frame& message) {
+    if (to == options_.self.id) {
+        on_frame(now_, options_.self.id, message);
+        return;
+    }
+    if (const auto* record = members_.find(to.name))
+        hooks_.send_frame(*record, message);
+}
+
+void node_core::tell(core_event_kind kind, const std::string& subject,
+                     const std::string& detail) {
+    if (hooks_.on_event)
+        hooks_.on_event({kind, subject, detail});
+}
+
+// Calls
+// -------------------------------------------------------------------------
+
+std::uint64_t node_core::on_call(time_point now, const raw_call& call,
+                                 reply_hook on_reply) {
+    now_ = now;
+    pipeline_environment environment;
+    environment.now = now;
+    environment.policy = &policy_;
+    environment.make_request_id = [this] {
+        return make_request_id(hooks_.random);
+    };
+    environment.is_running_here = [this](const call_context& context) {
+        return context.life == options_.self.id.life &&
+               executor_.is_running(context.execution);
+    };
+    environment.known_level = [this](const call_request& request) {
+        return caller_.known_level(now_, request);
+    };
+    call_state state{call, {}, environment};
+    if (const auto reply = run(incoming_filters(), state)) {
+        on_reply(state.request, *reply);
+        return 0;
+    }
+    if (!state.request.ticket.empty()) {
+        // Not abandoned with its caller, who may come back for the answer.
+        tickets_.submit(now, state.request, std::move(on_reply));
+        return 0;
+    }
+    return caller_.start(now, state.request, std::move(on_reply));
+}
+
+void node_core::abandon(time_point now, std::uint64_t call) {
+    now_ = now;
+    caller_.abandon(now, call);
+}
+
+void node_core::on_target_result(time_point now, std::uint64_t execution,
+                                 const target_result& result) {
+    now_ = now;
+    executor_.on_target_result(now, execution, result);
+}
+
+void node_core::on_link_down(time_point now, const node_life& node,
+                             bool was_connected) {
+    now_ = now;
+    caller_.on_link_down(now, node.name, was_connected);
+}
+
+std::vector<std::string> node_core::mint_tickets(time_point now,
+                                                 std::size_t count) {
+    return tickets_.mint(now, count);
+}
+
+void node_core::cancel_ticket(time_point now, const std::string& ticket,
+                              reply_hook on_reply) {
+    now_ = now;
+    call_request request;
+    request.ticket = ticket;
+    request.deadline = now + policy_.default_deadline;
+    tickets_.cancel(now, request, std::move(on_reply));
+}
+
+// Messages ------------------------------------------------------------------
+
+void node_core::on_frame(time_point now, const node_life& from,
+                         const coordination::frame& message) {
+    now_ = now;
+    std::visit([&](const auto& frame) { receive(now, from, frame); }, message);
+}
+
+void node_core::on_datagram(time_point now, const coordination::address& from,
+                            const coordination::datagram& message) {
+    now_ = now;
+    members_.receive(now, from, message);
+}
+
+void node_core::answer(const node_life& to, std::uint64_t sequence,
+                       const call_reply& reply) {
+    coordination::reply_frame frame;
+    frame.sequence = sequence;
+    frame.what = reply.what;
+    frame.why = reply.why;
+    frame.status = static_cast<std::uint16_t>(reply.status);
+    frame.content_type = reply.content_type;
+    frame.body = reply.body;
+    frame.body_digest = digest(reply.body);
+    hooks_.send_back(to, frame);
+}
+
+void node_core::receive(time_point now, const node_life& from,
+                        const coordination::call_frame& frame) {
+    const auto request = request_of(frame, now);
+    if (!frame.is_for_home) {
+        executor_.arrive(now, {from, frame.sequence}, request);
+        return;
+    }
+    tickets_.submit(now, request,
+                    [this, from, sequence = frame.sequence](
+                        const call_request&, const call_reply& reply) {
+                        answer(from, sequence, reply);
+                    });
+}
+
+void node_core::receive(time_point now, const node_life& from,
+                        const coordination::reply_frame& frame) {
+    caller_.on_reply(now, from, frame);
+}
+
+void node_core::receive(time_point now, const node_life& from,
+                        const coordination::cancel_frame& frame) {
+    const bool never = executor_.cancel(now, {from, frame.sequence});
+    const coordination::cancel_reply_frame reply{frame.sequence, never};
+    if (from == options_.self.id)
+        caller_.on_cancel_reply(now, from, reply);
+    else
+        hooks_.send_back(from, reply);
+}
+
+void node_core::receive(time_point now, const node_life& from,
+                        const coordination::cancel_reply_frame& frame) {
+    caller_.on_cancel_reply(now, from, frame);
+}
+
+void node_core::receive(time_point now, const node_life& from,
+                        const coordination::ticket_cancel_frame& frame) {
+    call_request request;
+    request.ticket = frame.ticket;
+    request.deadline = now + policy_.default_deadline;
+    tickets_.cancel(now, request,
+                    [this, from, sequence = frame.sequence](
+                        const call_request&, const call_reply& reply) {
+                        answer(from, sequence, reply);
+                    });
+}
+
+void node_core::send_view(const member_record& to, bool wants_answer) {
+    auto records = members_.all();
+    records.push_back(members_.self());
+    for (std::size_t n = 0; n < records.size(); n += records_per_view_frame) {
+        const auto end = std::min(n + records_per_view_frame, records.size());
+        coordination::view_frame view;
+        view.members.assign(records.begin() + static_cast<std::ptrdiff_t>(n),
+                            records.begin() + static_cast<std::ptrdiff_t>(end));
+        view.wants_answer = wants_answer && end == records.size();
+        hooks_.send_frame(to, view);
+    }
+}
+
+void node_core::receive(time_point now, const node_life& from,
+                        const coordination::view_frame& frame) {
+    members_.merge(now, frame.members);
+    const auto* record = members_.find(from.name);
+    if (frame.wants_answer && record != nullptr)
+        send_view(*record, false);
+}
+
+void node_core::receive(time_point, const node_life& from,
+                        const coordination::config_summary_frame& frame) {
+    if (const auto* record = members_.find(from.name))
+        configs_.on_summary(*record, frame);
+}
+
+void node_core::receive(time_point, const node_life&,
+                        const coordination::config_frame& frame) {
+    configs_.offer(frame);
+}
+
+void node_core::receive(time_point, const node_life&,
+                        const coordination::usage_frame& frame) {
+    for (const auto& row : frame.rows)
+        reported_.merge(row);
+}
+
+void node_core::receive(time_point, const node_life&,
+                        const coordination::hello_frame&) {}
+
+// Target, configuration, usage ---------------------------------------------
+
+void node_core::announce(time_point now,
+                         const target_announcement& announcement) {
+    now_ = now;
+    last_announced_ = now;
+    if (!executor_.set_target(now, announcement))
+        return;
+    const auto state =
+        executor_.is_draining() ? target_state::draining : target_state::ready;
+    members_.set_target(now, announcement.service, announcement.slots, state);
+    router_.on_member(members_.self());
+    tell(core_event_kind::target_announced, announcement.service.value,
+         absl::StrCat(announcement.slots, " slots"));
+}
+
+void node_core::drain(time_point now) {
+    now_ = now;
+    executor_.drain(now);
+    members_.set_target(now, members_.self().service, members_.self().slots,
+                        target_state::draining);
+    router_.on_member(members_.self());
+    tell(core_event_kind::draining, members_.self().service.value);
+}
+
+void node_core::leave(time_point now) {
+    now_ = now;
+    report_usage(now);
+    members_.leave(now);
+    tell(core_event_kind::left, options_.self.id.name.value);
+}
+
+bool node_core::offer_config(const coordination::config_frame& config) {
+    return configs_.offer(config);
+}
+
+void node_core::start_census(const graph_name& graph) {
+    census_.clear();
+    census_asked_ = 0;
+    for (const auto& record : members_.all()) {
+        if (coordination::is_gone(record.state))
+            continue;
+        ++census_asked_;
+        members_.ask_census(record, graph);
+    }
+}
+
+node_core::census_result
+node_core::count_census(const graph_name& graph,
+                        std::uint64_t generation) const {
+    census_result result{census_asked_ + 1, 1, 0};
+    const auto* own = configs_.find(graph);
+    result.in_force += own != nullptr && own->generation >= generation ? 1 : 0;
+    for (const auto& [node, news] : census_) {
+        if (news.graph != graph)
+            continue;
+        ++result.answered;
+        result.in_force += news.generation >= generation ? 1 : 0;
+    }
+    return result;
+}
+
+void node_core::add_contact(const coordination::address& contact) {
+    members_.add_contact(contact);
+}
+
+void node_core::on_config(const coordination::config_frame& config) {
+    if (config.graph != options_.graph)
+        return;
+    const auto document = policy::parse_document(config.body);
+    if (!document.ok()) {
+        tell(core_event_kind::config_rejected, config.graph.value,
+             std::string(document.status().message()));
+        return;
+    }
+    policy_ = document->policy;
+    executor_.set_policy(policy_);
+    caller_.set_policy(policy_);
+    tell(core_event_kind::config_in_force, config.graph.value,
+         absl::StrCat("generation ", config.generation));
+}
+
+void node_core::report_usage(time_point now) {
+    next_usage_ = now + options_.usage_period;
+    const auto rows = meter_.rows();
+    const auto holders = coordination::choose_holders(
+        members_.live_in(options_.self.domain), "usage", usage_holders);
+    for (const auto& holder : holders) {
+        const auto* record = members_.find(holder);
+        if (record == nullptr)
+            continue;
+        for (std::size_t n = 0; n < rows.size(); n += rows_per_usage_frame) {
+            const auto end = std::min(n + rows_per_usage_frame, rows.size());
+            coordination::usage_frame frame;
+            frame.rows.assign(rows.begin() + static_cast<std::ptrdiff_t>(n),
+                              rows.begin() + static_cast<std::ptrdiff_t>(end));
+            send(record->id, frame);
+        }
+    }
+}
+
+usage::roll_up node_core::take_reported_usage() {
+    return std::exchange(reported_, {});
+}
+
+// Time ------------------------------------------------------------------------
+
+void node_core::tick(time_point now) {
+    now_ = now;
+    members_.tick(now);
+    caller_.tick(now);
+    executor_.tick(now);
+    tickets_.tick(now);
+    if (next_usage_ == time_point{}) {
+        // Spread out, so that a domain's nodes do not report all at once.
+        const auto part = hooks_.random() % options_.usage_period.count();
+        next_usage_ = now + duration(part);
+    }
+    if (now >= next_usage_)
+        report_usage(now);
+    if (last_announced_ && now - *last_announced_ > options_.announce_timeout) {
+        last_announced_.reset();
+        executor_.lose_target();
+        members_.set_target(now, members_.self().service, 0,
+                            target_state::absent);
+        router_.on_member(members_.self());
+        tell(core_event_kind::target_lost, members_.self().service.value);
+    }
+}
+
+time_point node_core::next_due(time_point now) const {
+    auto due = std::min(members_.next_due(), caller_.next_due());
+    due = std::min<time_point>(due, now + housekeeping_interval);
+    if (executor_.queued() > 0 || executor_.level().value > 0)
+        due = std::min<time_point>(due, now + queue_interval);
+    return due;
+}
+
+bool node_core::is_idle() const {
+    return executor_.running() + executor_.queued() + caller_.in_flight() == 0;
+}
+
+nlohmann::json node_core::status(time_point now) const {
+    std::size_t alive = 1;
+    std::size_t suspect = 0;
+    std::size_t gone = 0;
+    for (const auto& record : members_.all()) {
+        if (coordination::is_gone(record.state))
+            ++gone;
+        else if (record.state == coordination::member_state::suspect)
+            ++suspect;
+        else
+            ++alive;
+    }
+    nlohmann::json configs = nlohmann::json::array();
+    for (const auto& it : configs_.held())
+        configs.push_back(
+            {{"graph", it.graph.value}, {"generation", it.generation}});
+    nlohmann::json services = nlohmann::json::object();
+    for (const auto& service : router_.services())
+        services[service.value] = router_.known_targets(service);
+    const auto& self = members_.self();
+    const auto& made = caller_.counters();
+    const auto& ran = executor_.counters();
+    const auto& ticket = tickets_.counters();
+    return {
+        {"node", self.id.name.value},
+        {"life", self.id.life.value},
+        {"address", to_string(self.where)},
+        {"region", self.region.value},
+        {"domain", self.domain.value},
+        {"service", self.service.value},
+        {"target", to_string(self.target)},
+        {"slots", self.slots},
+        {"limit", executor_.limit(now)},
+        {"running", executor_.running()},
+        {"queued", executor_.queued()},
+        {"level", executor_.level().value},
+        {"in_flight", caller_.in_flight()},
+        {"members", {{"alive", alive}, {"suspect", suspect}, {"gone", gone}}},
+        {"services", services},
+        {"configs", configs},
+        {"calls",
+         {{"made", made.calls},
+          {"attempts", made.attempts},
+          {"retries", made.retries},
+          {"done", made.done},
+          {"not_run", made.not_run},
+          {"unknown", made.unknown},
+          {"stray_replies", made.stray_replies},
+          {"bad_digests", made.bad_digests},
+          {"ruled_out", made.ruled_out}}},
+        {"executions",
+         {{"arrived", ran.arrived},
+          {"duplicates", ran.duplicates},
+          {"started", ran.started},
+          {"refused", ran.refused},
+          {"cancelled", ran.cancelled},
+          {"stopped", ran.stopped}}},
+        {"tickets",
+         {{"minted", ticket.minted},
+          {"dispatched", ticket.dispatched},
+          {"repeated", ticket.repeated},
+          {"refused", ticket.refused},
+          {"cancelled", ticket.cancelled},
+          {"kept", tickets_.size()}}}};
+}
+
+} // namespace redwingwind::engine
--- /dev/null
+++ b/source/engine/src/ticket_desk.cpp
@@ -0,0 +1,159 @@
+#include <redwingwind/engine/ticket_desk.hpp>
+
+#include <redwingwind/common/hash.hpp>
+
+#include <utility>
+
+namespace redwingwind::engine {
+namespace {
+
+using coordination::claim_result;
+using coordination::stored_answer;
+using coordination::ticket;
+
+/// What must be alike for two requests to be the same one.
+std::uint64_t content_digest(const call_request& request) {
+    auto n = digest(request.service.value);
+    n = digest(request.method, n);
+    n = digest(request.path, n);
+    n = digest(request.owner.value, n);
+    return digest(request.body, n);
+}
+
+call_reply reply_of(const stored_answer& answer) {
+    if (answer.what != outcome::done)
+        return refusal(answer.what, answer.why,
+                       "the first attempt ended like this");
+    return {answer.what,         answer.why,  answer.status,
+            answer.content_type, answer.body, 0};
+}
+
+stored_answer answer_of(const call_reply& reply) {
+    return {reply.what, reply.why, static_cast<std::uint16_t>(reply.status),
+            reply.content_type, reply.body};
+}
+
+call_reply refusal_of(claim_result result) {
+    switch (result) {
+    case claim_result::cancelled:
+        return refusal(outcome::not_run, error_code::cancelled,
+                       "the ticket was cancelled before use");
+    case claim_result::expired:
+        return refusal(outcome::unknown, error_code::ticket_expired,
+                       "an earlier use would be forgotten by now");
+    case claim_result::reused:
+        return refusal(outcome::unknown, error_code::ticket_reused,
+                       "the ticket was used for another request");
+    case claim_result::full:
+        return refusal(outcome::not_run, error_code::ticket_table_full,
+                       "too many tickets in use");
+    default:
+        return refusal(outcome::unknown, error_code::ticket_home_gone,
+                       "the node that gave the ticket is gone");
+    }
+}
+
+} // namespace
+
+ticket_desk::ticket_desk(coordination::ticket_table_options options,
+                         node_life self, const coordination::keyring& keys,
+                         caller& calls)
+    : self_(self), keys_(keys), calls_(calls),
+      table_(options, std::move(self)) {}
+
+std::vector<std::string> ticket_desk::mint(time_point now, std::size_t count) {
+    std::vector<std::string> texts;
+    for (std::size_t n = 0; n < count; ++n)
+        texts.push_back(coordination::to_text(table_.mint(now), keys_));
+    counters_.minted += count;
+    return texts;
+}
+
+void ticket_desk::submit(time_point now, const call_request& request,
+                         reply_hook on_reply) {
+    const auto t = coordination::parse_ticket(request.ticket, keys_);
+    if (!t.ok()) {
+        ++counters_.refused;
+        on_reply(request, refusal(outcome::not_run, error_code::ticket_forged,
+                                  "not a ticket of this deployment"));
+        return;
+    }
+    if (t->home != self_) {
+        calls_.start_at_home(now, request, t->home, std::move(on_reply));
+        return;
+    }
+    const auto result = table_.claim(now, *t, content_digest(request));
+    switch (result) {
+    case claim_result::dispatch:
+        dispatch(now, *t, request, std::move(on_reply));
+        break;
+    case claim_result::wait:
+        ++counters_.repeated;
+        waiters_[t->sequence].push_back({request, std::move(on_reply)});
+        break;
+    case claim_result::answered:
+        ++counters_.repeated;
+        on_reply(request, reply_of(*table_.answer(*t)));
+        break;
+    default:
+        ++counters_.refused;
+        on_reply(request, refusal_of(result));
+        break;
+    }
+}
+
+void ticket_desk::dispatch(time_point now, const ticket& t,
+                           const call_request& request, reply_hook on_reply) {
+    ++counters_.dispatched;
+    waiters_[t.sequence].push_back({request, std::move(on_reply)});
+    auto once = request;
+    once.is_idempotent = false;
+    calls_.start(now, once,
+                 [this, t](const call_request&, const call_reply& reply) {
+                     on_answer(t, reply);
+                 });
+}
+
+void ticket_desk::on_answer(const ticket& t, const call_reply& reply) {
+    table_.settle(t, answer_of(reply));
+    const auto it = waiters_.find(t.sequence);
+    if (it == waiters_.end())
+        return;
+    const auto waiting = std::move(it->second);
+    waiters_.erase(it);
+    for (const auto& one : waiting)
+        one.on_reply(one.request, reply);
+}
+
+void ticket_desk::cancel(time_point now, const call_request& request,
+                         reply_hook on_reply) {
+    const auto t = coordination::parse_ticket(request.ticket, keys_);
+    if (!t.ok()) {
+        ++counters_.refused;
+        on_reply(request, refusal(outcome::not_run, error_code::ticket_forged,
+                                  "not a ticket of this deployment"));
+        return;
+    }
+    if (t->home != self_) {
+        calls_.cancel_ticket(now, request, t->home, std::move(on_reply));
+        return;
+    }
+    if (!table_.cancel(now, *t)) {
+        on_reply(request, refusal(outcome::unknown, error_code::conflict,
+                                  "the ticket was used already"));
+        return;
+    }
+    ++counters_.cancelled;
+    call_reply reply;
+    reply.what = outcome::not_run;
+    reply.why = error_code::cancelled;
+    reply.status = 200;
+    reply.body = "the request was not run and never will be\n";
+    on_reply(request, reply);
+}
+
+void ticket_desk::tick(time_point now) {
+    table_.forget_expired(now);
+}
+
+} // namespace redwingwind::engine
--- /dev/null
+++ b/source/node/src/main.cpp
@@ -0,0 +1,39 @@
+#include <redwingwind/common/log.hpp>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "node_daemon.hpp"
+#include "node_settings.hpp"
+
+namespace {
+
+constexpr int exit_bad_settings = 2;
+constexpr int exit_failed = 1;
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace redwingwind;
+    auto settings = node::read_node_settings(argc, argv);
+    if (!settings.ok()) {
+        std::cerr << "redwingwind-node: " << settings.status().message()
+                  << "\n";
+        return exit_bad_settings;
+    }
+    if (settings->is_check_only) {
+        std::cout << "settings are good\n";
+        return EXIT_SUCCESS;
+    }
+    start_logging(settings->log_level);
+    try {
+        node::node_daemon daemon(*std::move(settings));
+        daemon.run();
+    } catch (const std::exception& e) {
+        log_event(log_channel::node, log_level::error, "failed",
+                  {{"why", e.what()}});
+        return exit_failed;
+    }
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/source/node/src/peer_links.cpp
@@ -0,0 +1,480 @@
+#include "peer_links.hpp"
+
+#include <redwingwind/common/error.hpp>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <cstring>
+#include <map>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace redwingwind::node {
+
+using coordination::frame;
+using coordination::hello_frame;
+using coordination::member_record;
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t most_hello_bytes = 512;
+constexpr std::size_t read_bytes = 64U << 10U;
+constexpr std::string_view hello_context = "redwingwind/hello";
+constexpr auto sweep_interval = std::chrono::seconds(1);
+
+void append_number(std::string& buf, std::uint64_t n) {
+    buf.append(reinterpret_cast<const char*>(&n), sizeof(n));
+}
+
+/// What the MAC of a frame covers besides the frame: the connection, by both
+/// sides' nonces, the direction and the frame's place in it.
+std::string frame_context(std::uint64_t opener, std::uint64_t acceptor,
+                          bool is_from_opener, std::uint64_t number) {
+    std::string context;
+    append_number(context, opener);
+    append_number(context, acceptor);
+    append_number(context, is_from_opener ? 1 : 0);
+    append_number(context, number);
+    return context;
+}
+
+} // namespace
+
+class peer_links::link {
+  public:
+    ACE_SOCK_Stream stream;
+    io::descriptor_watch watch;
+    std::uint64_t id{};
+    bool is_opener{};
+    bool is_connecting{};
+    bool is_greeted{};
+    node_life peer;
+    std::uint64_t own_nonce{};
+    std::uint64_t peer_nonce{};
+    std::uint64_t sent_frames{};
+    std::uint64_t received_frames{};
+    std::string in;
+    std::string out;
+    /// Frames for after the greeting.
+    std::vector<std::string> waiting;
+    std::size_t waiting_bytes{};
+    time_point last_used;
+};
+
+class peer_links::impl {
+  public:
+    impl(io::reactor& loop, const coordination::keyring& keys, node_life self,
+         const coordination::address& listen_on, link_options options, hooks h)
+        : loop_(loop), keys_(keys), self_(std::move(self)), options_(options),
+          hooks_(std::move(h)) {
+        const ACE_INET_Addr where(listen_on.port, listen_on.ip.c_str());
+        constexpr int reuse = 1;
+        constexpr int backlog = 1024;
+        if (acceptor_.open(where, reuse, PF_INET, backlog) != 0)
+            throw std::runtime_error("can't listen on " +
+                                     coordination::to_string(listen_on));
+        acceptor_.enable(ACE_NONBLOCK);
+        accept_watch_ = loop_.watch(acceptor_.get_handle(),
+                                    [this](bool, bool) { accept_all(); });
+        accept_watch_.want(true, false);
+        sweep();
+    }
+
+    ~impl() {
+        loop_.cancel(sweep_timer_);
+        for (auto& [id, it] : links_)
+            it->stream.close();
+        acceptor_.close();
+    }
+
+    std::uint16_t port() const {
+        ACE_INET_Addr where;
+        acceptor_.get_local_addr(where);
+        return where.get_port_number();
+    }
+
+    void send(const member_record& to, const frame& message) {
+        auto found = opened_.find(to.id);
+        if (found == opened_.end()) {
+            const auto id = open(to);
+            if (id == 0)
+                return;
+            found = opened_.find(to.id);
+        }
+        const auto it = links_.find(found->second);
+        queue(*it->second, message);
+    }
+
+    void send_back(const node_life& to, const frame& message) {
+        const auto found = accepted_.find(to);
+        if (found == accepted_.end())
+            return;
+        queue(*links_.at(found->second), message);
+    }
+
+    void drop(const node_life& node) {
+        if (const auto it = opened_.find(node); it != opened_.end())
+            close(it->second);
+        if (const auto it = accepted_.find(node); it != accepted_.end())
+            close(it->second);
+    }
+
+    link_counters counters;
+    std::size_t open_links() const { return links_.size(); }
+
+  private:
+    link& add(bool is_opener) {
+        auto it = std::make_unique<link>();
+        it->id = next_id_++;
+        it->is_opener = is_opener;
+        it->own_nonce = hooks_.random();
+        it->last_used = steady_now();
+        auto& added = *it;
+        links_.emplace(added.id, std::move(it));
+        return added;
+    }
+
+    void start_watch(link& it) {
+        int on = 1;
+        it.stream.set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        it.stream.enable(ACE_NONBLOCK);
+        it.watch = loop_.watch(
+            it.stream.get_handle(),
+            [this, id = it.id](bool r, bool w) { on_ready(id, r, w); });
+    }
+
+    /// 0 when the connection could not even be tried.
+    std::uint64_t open(const member_record& to) {
+        if (links_.size() >= options_.most_links) {
+            report_down(to.id, false);
+            return 0;
+        }
+        auto& it = add(true);
+        it.peer = to.id;
+        const ACE_INET_Addr where(to.where.port, to.where.ip.c_str());
+        ACE_SOCK_Connector connector;
+        const ACE_Time_Value no_wait(0, 0);
+        const int result = connector.connect(it.stream, where, &no_wait);
+        if (result != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS &&
+            errno != ETIME) {
+            links_.erase(it.id);
+            report_down(to.id, false);
+            return 0;
+        }
+        ++counters.opened;
+        it.is_connecting = true;
+        opened_[to.id] = it.id;
+        start_watch(it);
+        it.watch.want(true, true);
+        append_sealed(it, hello_frame{self_, it.own_nonce}, hello_context);
+        return it.id;
+    }
+
+    /// Not from inside send(): whoever called it is not ready for an answer.
+    void report_down(const node_life& node, bool was_connected) {
+        loop_.after(duration::zero(), [this, node, was_connected] {
+            hooks_.on_down(node, was_connected);
+        });
+    }
+
+    void accept_all() {
+        while (true) {
+            ACE_SOCK_Stream stream;
+            const ACE_Time_Value no_wait(0, 0);
+            if (acceptor_.accept(stream, nullptr,
+                                 const_cast<ACE_Time_Value*>(&no_wait)) != 0)
+                return;
+            if (links_.size() >= options_.most_links) {
+                stream.close();
+                ++counters.rejected;
+                continue;
+            }
+            ++counters.accepted;
+            auto& it = add(false);
+            it.stream = stream;
+            start_watch(it);
+            it.watch.want(true, false);
+        }
+    }
+
+    void queue(link& it, const frame& message) {
+        auto payload = coordination::encode(message);
+        it.last_used = steady_now();
+        if (it.is_greeted) {
+            append_frame(it, payload);
+            flush(it);
+            return;
+        }
+        it.waiting_bytes += payload.size();
+        if (it.waiting_bytes > options_.most_waiting_bytes) {
+            close_later(it.id);
+            return;
+        }
+        it.waiting.push_back(std::move(payload));
+    }
+
+    std::string context_of(const link& it, bool is_own, std::uint64_t n) const {
+        const auto opener = it.is_opener ? it.own_nonce : it.peer_nonce;
+        const auto acceptor = it.is_opener ? it.peer_nonce : it.own_nonce;
+        return frame_context(opener, acceptor, is_own == it.is_opener, n);
+    }
+
+    void append_frame(link& it, const std::string& payload) {
+        const auto sealed =
+            keys_.seal(payload, context_of(it, true, it.sent_frames++));
+        append_bytes(it, sealed);
+        ++counters.frames_sent;
+    }
+
+    void append_sealed(link& it, const hello_frame& hello,
+                       std::string_view context) {
+        append_bytes(it, keys_.seal(coordination::encode(hello), context));
+    }
+
+    void append_bytes(link& it, const std::string& sealed) {
+        const auto n = static_cast<std::uint32_t>(sealed.size());
+        it.out.append(reinterpret_cast<const char*>(&n), length_bytes);
+        it.out.append(sealed);
+        counters.bytes_sent += sealed.size() + length_bytes;
+    }
+
+    void flush(link& it) {
+        if (it.is_connecting)
+            return;
+        while (!it.out.empty()) {
+            const auto n = it.stream.send(it.out.data(), it.out.size());
+            if (n <= 0)
+                break;
+            it.out.erase(0, static_cast<std::size_t>(n));
+        }
+        if (it.out.size() > options_.most_waiting_bytes) {
+            close_later(it.id);
+            return;
+        }
+        it.watch.want(true, !it.out.empty());
+    }
+
+    void close_later(std::uint64_t id) {
+        loop_.after(duration::zero(), [this, id] { close(id); });
+    }
+
+    void on_ready(std::uint64_t id, bool can_read, bool can_write) {
+        const auto found = links_.find(id);
+        if (found == links_.end())
+            return;
+        auto& it = *found->second;
+        if (it.is_connecting && !finish_connect(it)) {
+            close(id);
+            return;
+        }
+        if (can_write)
+            flush(it);
+        if (can_read)
+            read(id);
+    }
+
+    static bool finish_connect(link& it) {
+        int error = 0;
+        int n = sizeof(error);
+        it.stream.get_option(SOL_SOCKET, SO_ERROR, &error, &n);
+        it.is_connecting = false;
+        return error == 0;
+    }
+
+    void read(std::uint64_t id) {
+        auto& it = *links_.at(id);
+        while (true) {
+            const auto n = it.stream.recv(scratch_.data(), read_bytes);
+            if (n > 0)
+                it.in.append(scratch_.data(), static_cast<std::size_t>(n));
+            if (n < 0 && (errno == EWOULDBLOCK || errno == EAGAIN))
+                break;
+            if (n <= 0) {
+                // What came before the end still counts.
+                if (take_frames(id))
+                    close(id);
+                return;
+            }
+            if (n < static_cast<ssize_t>(read_bytes))
+                break;
+        }
+        take_frames(id);
+    }
+
+    /// False when the link is gone.
+    bool take_frames(std::uint64_t id) {
+        auto* it = links_.at(id).get();
+        it->last_used = steady_now();
+        std::size_t from = 0;
+        while (it->in.size() - from >= length_bytes) {
+            std::uint32_t n = 0;
+            std::memcpy(&n, it->in.data() + from, length_bytes);
+            const auto most =
+                it->is_greeted ? options_.most_frame_bytes : most_hello_bytes;
+            if (n > most) {
+                reject(id, "oversized frame");
+                return false;
+            }
+            if (it->in.size() - from - length_bytes < n)
+                break;
+            const auto sealed = it->in.substr(from + length_bytes, n);
+            from += length_bytes + n;
+            if (!take(id, sealed))
+                return false;
+            const auto found = links_.find(id);
+            if (found == links_.end())
+                return false;
+            it = found->second.get();
+        }
+        it->in.erase(0, from);
+        return true;
+    }
+
+    bool take(std::uint64_t id, const std::string& sealed) {
+        auto& it = *links_.at(id);
+        if (!it.is_greeted)
+            return greet(id, sealed);
+        const auto payload =
+            keys_.open(sealed, context_of(it, false, it.received_frames++));
+        if (!payload.ok()) {
+            reject(id, "wrong MAC");
+            return false;
+        }
+        const auto message = coordination::decode<frame>(*payload);
+        if (!message.ok()) {
+            reject(id, std::string(message.status().message()));
+            return false;
+        }
+        ++counters.frames_received;
+        const auto peer = it.peer;
+        hooks_.on_frame(peer, *message);
+        return true;
+    }
+
+    bool greet(std::uint64_t id, const std::string& sealed) {
+        auto& it = *links_.at(id);
+        const auto payload = keys_.open(sealed, hello_context);
+        const auto hello = payload.ok()
+                               ? coordination::decode<hello_frame>(*payload)
+                               : absl::StatusOr<hello_frame>(payload.status());
+        if (!hello.ok()) {
+            reject(id, "no valid greeting");
+            return false;
+        }
+        if (it.is_opener && hello->node != it.peer) {
+            // Another life has the address now; nothing was sent to it.
+            close(id);
+            return false;
+        }
+        it.peer = hello->node;
+        it.peer_nonce = hello->nonce;
+        it.is_greeted = true;
+        if (!it.is_opener) {
+            append_sealed(it, hello_frame{self_, it.own_nonce}, hello_context);
+            accepted_[it.peer] = id;
+        }
+        for (const auto& message : it.waiting)
+            append_frame(it, message);
+        it.waiting.clear();
+        it.waiting_bytes = 0;
+        flush(it);
+        return true;
+    }
+
+    void reject(std::uint64_t id, const std::string& why) {
+        ++counters.rejected;
+        if (hooks_.on_rejected)
+            hooks_.on_rejected(why);
+        close(id);
+    }
+
+    void close(std::uint64_t id) {
+        const auto found = links_.find(id);
+        if (found == links_.end())
+            return;
+        const auto it = std::move(found->second);
+        links_.erase(found);
+        it->watch.reset();
+        it->stream.close();
+        auto& index = it->is_opener ? opened_ : accepted_;
+        const auto named = index.find(it->peer);
+        if (named != index.end() && named->second == id)
+            index.erase(named);
+        if (it->is_opener)
+            hooks_.on_down(it->peer, it->is_greeted);
+    }
+
+    void sweep() {
+        const auto now = steady_now();
+        std::vector<std::uint64_t> old;
+        for (const auto& [id, it] : links_) {
+            const auto limit = it->is_greeted ? options_.idle_timeout
+                                              : options_.handshake_timeout;
+            // The side that opened a link closes it when idle.
+            const bool is_mine = it->is_opener || !it->is_greeted;
+            if (is_mine && now - it->last_used > limit)
+                old.push_back(id);
+        }
+        for (const auto id : old)
+            close(id);
+        sweep_timer_ = loop_.after(sweep_interval, [this] { sweep(); });
+    }
+
+    io::reactor& loop_;
+    const coordination::keyring& keys_;
+    node_life self_;
+    link_options options_;
+    hooks hooks_;
+    ACE_SOCK_Acceptor acceptor_;
+    io::descriptor_watch accept_watch_;
+    io::reactor::timer_id sweep_timer_{};
+    std::uint64_t next_id_{1};
+    std::unordered_map<std::uint64_t, std::unique_ptr<link>> links_;
+    /// One buffer for all links: thousands of idle ones must stay small.
+    std::string scratch_ = std::string(read_bytes, '\0');
+    std::map<node_life, std::uint64_t> opened_;
+    std::map<node_life, std::uint64_t> accepted_;
+};
+
+peer_links::peer_links(io::reactor& loop, const coordination::keyring& keys,
+                       node_life self, const coordination::address& listen_on,
+                       link_options options, hooks h)
+    : impl_(std::make_unique<impl>(loop, keys, std::move(self), listen_on,
+                                   options, std::move(h))) {}
+
+peer_links::~peer_links() = default;
+
+std::uint16_t peer_links::port() const {
+    return impl_->port();
+}
+
+void peer_links::send(const member_record& to, const frame& message) {
+    impl_->send(to, message);
+}
+
+void peer_links::send_back(const node_life& to, const frame& message) {
+    impl_->send_back(to, message);
+}
+
+void peer_links::drop(const node_life& node) {
+    impl_->drop(node);
+}
+
+const link_counters& peer_links::counters() const {
+    return impl_->counters;
+}
+
+std::size_t peer_links::open_links() const {
+    return impl_->open_links();
+}
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/peer_links.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/coordination/keyring.hpp>
+#include <redwingwind/coordination/messages.hpp>
+#include <redwingwind/io/reactor.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace redwingwind::node {
+
+struct link_options {
+    std::size_t most_frame_bytes{std::size_t{2} << 20U};
+    /// Bytes that may wait for one slow peer.
+    std::size_t most_waiting_bytes{std::size_t{8} << 20U};
+    std::uint32_t most_links{4096};
+    duration handshake_timeout{std::chrono::seconds(2)};
+    duration idle_timeout{std::chrono::seconds(60)};
+};
+
+struct link_counters {
+    std::uint64_t opened{};
+    std::uint64_t accepted{};
+    /// Closed for a wrong key, a malformed or an oversized frame.
+    std::uint64_t rejected{};
+    std::uint64_t bytes_sent{};
+    std::uint64_t frames_sent{};
+    std::uint64_t frames_received{};
+};
+
+/// Connections with other nodes. Each carries sealed frames; a frame that was
+/// altered, repeated, left out or reordered ends its connection.
+class peer_links {
+  public:
+    struct hooks {
+        std::function<void(const node_life& from, const coordination::frame&)>
+            on_frame;
+        /// A connection that this node opened ended. was_connected is false
+        /// when nothing that was sent on it can have arrived.
+        std::function<void(const node_life&, bool was_connected)> on_down;
+        std::function<void(const std::string& why)> on_rejected;
+        random_hook random;
+    };
+
+    /// Throws std::runtime_error when the address can't be bound.
+    peer_links(io::reactor& loop, const coordination::keyring& keys,
+               node_life self, const coordination::address& listen_on,
+               link_options options, hooks h);
+    ~peer_links();
+    peer_links(const peer_links&) = delete;
+    peer_links& operator=(const peer_links&) = delete;
+
+    std::uint16_t port() const;
+
+    /// Over a connection that this node opens when there is none.
+    void send(const coordination::member_record& to,
+              const coordination::frame& message);
+    /// Over a connection that the other node opened; dropped without one.
+    void send_back(const node_life& to, const coordination::frame& message);
+    void drop(const node_life& node);
+
+    const link_counters& counters() const;
+    std::size_t open_links() const;
+
+  private:
+    class link;
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/store_agent.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/engine/node_core.hpp>
+#include <redwingwind/platform/object_store.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace redwingwind::node {
+
+struct store_agent_options {
+    /// How often a node looks whether a duty is its own.
+    duration duty_interval{std::chrono::seconds(1)};
+    duration watch_time{std::chrono::seconds(20)};
+    duration least_pause{std::chrono::milliseconds(200)};
+    duration most_pause{std::chrono::seconds(10)};
+    duration usage_period{std::chrono::seconds(10)};
+    /// Nodes of a failure domain that hold the watch, and that are seeds.
+    std::size_t watchers{2};
+    std::size_t seeds{3};
+};
+
+struct store_agent_counters {
+    std::uint64_t calls{};
+    std::uint64_t failures{};
+    std::uint64_t usage_writes{};
+};
+
+/// A node's dealings with the platform's store: finds the first peers there,
+/// and while the duty falls to it, keeps the seeds, watches configurations
+/// and writes the roll-up of usage. While the store is away it asks again
+/// after pauses that double and differ between nodes.
+class store_agent {
+  public:
+    struct hooks {
+        std::function<void(duration, std::function<void()>)> after;
+        clock_hook now;
+        std::function<std::uint64_t()> wall_us;
+        random_hook random;
+        /// A conditional write met a newer object, or the store failed.
+        std::function<void(const std::string& what, const absl::Status&)>
+            on_failure;
+    };
+
+    store_agent(store_agent_options options, platform::object_store store,
+                engine::node_core& core, hooks h);
+
+    void start();
+    /// Writes what usage is known, for a planned stop; then calls back.
+    void flush_usage(std::function<void()> done);
+
+    bool is_watching() const { return is_watching_; }
+    const store_agent_counters& counters() const { return counters_; }
+
+  private:
+    /// The pause before the next try, doubled by each failure in a row.
+    class backoff {
+      public:
+        duration next(const store_agent_options& options,
+                      const random_hook& random);
+        void reset() { failures_ = 0; }
+
+      private:
+        std::uint32_t failures_{};
+    };
+
+    void find_peers();
+    void on_seeds(const platform::listing& seeds);
+    void look_for_duties();
+    bool has_duty(const std::string& duty, std::size_t holders,
+                  std::size_t* place = nullptr) const;
+    void keep_seed(std::size_t place);
+    void write_seed(const std::string& key, std::uint64_t over_version);
+    void list_graphs();
+    void watch_graphs();
+    void on_graphs(const platform::listing& graphs);
+    void write_usage(std::function<void()> done);
+    void put_usage(const std::string& key, const std::string& old_text,
+                   std::uint64_t version, std::function<void()> done);
+    void fail(const std::string& what, const absl::Status& status);
+
+    store_agent_options options_;
+    platform::object_store store_;
+    engine::node_core& core_;
+    hooks hooks_;
+    backoff peers_backoff_;
+    backoff watch_backoff_;
+    bool is_watching_{};
+    bool is_seed_written_{};
+    bool is_seed_busy_{};
+    bool is_usage_busy_{};
+    std::uint64_t revision_{};
+    time_point next_usage_{};
+    usage::roll_up collected_;
+    store_agent_counters counters_;
+};
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/platform/include/redwingwind/platform/object_store.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/io/http.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace redwingwind::platform {
+
+struct stored_object {
+    std::string key;
+    /// Rises with each write of the key; 0 means that there is no object.
+    std::uint64_t version{};
+    std::string value;
+
+    auto operator<=>(const stored_object&) const = default;
+};
+
+struct listing {
+    /// Rises with each write of any key.
+    std::uint64_t revision{};
+    std::vector<stored_object> objects;
+
+    auto operator<=>(const listing&) const = default;
+};
+
+/// The platform's object API, as far as the product uses it. All calls are
+/// asynchronous; errors are not_found, conflict, bad_input (for a value that
+/// is too large) and store_unavailable, after which a write may or may not
+/// have taken effect.
+struct object_store {
+    using object_callback = std::function<void(absl::StatusOr<stored_object>)>;
+    using version_callback = std::function<void(absl::StatusOr<std::uint64_t>)>;
+    using listing_callback = std::function<void(absl::StatusOr<listing>)>;
+
+    std::function<void(const std::string& key, object_callback)> get;
+    /// Writes only over the given version; 0 creates.
+    std::function<void(const std::string& key, const std::string& value,
+                       std::uint64_t over_version, version_callback)>
+        put;
+    std::function<void(const std::string& prefix, listing_callback)> list;
+    /// Answers with the objects changed since the revision, at once or when
+    /// one changes, or with none after the wait.
+    std::function<void(const std::string& prefix, std::uint64_t since,
+                       duration wait, listing_callback)>
+        watch;
+};
+
+struct store_options {
+    /// "http://IP:PORT".
+    std::string url;
+    duration timeout{std::chrono::seconds(2)};
+};
+
+/// The store over HTTP. The client must outlive what is returned.
+object_store connect_store(io::http_client& client, store_options options);
+
+} // namespace redwingwind::platform
--- /dev/null
+++ b/source/usage/include/redwingwind/usage/meter.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <redwingwind/coordination/messages.hpp>
+
+#include <map>
+#include <vector>
+
+namespace redwingwind::usage {
+
+using coordination::usage_row;
+
+/// What one call adds to a counter.
+struct usage_delta {
+    owner_name owner;
+    service_name service;
+    overload::importance kind{};
+    bool is_executing_side{};
+    bool was_refused{};
+    bool was_wasted{};
+    std::uint64_t slot_time_us{};
+    std::uint64_t bytes{};
+};
+
+/// Counts one node's use since its start. Counters only grow, so a report
+/// replaces all earlier ones of the same life.
+class meter {
+  public:
+    /// Owners beyond most_rows are counted together as "~others".
+    explicit meter(node_life self, std::size_t most_rows = 2048)
+        : self_(std::move(self)), most_rows_(most_rows) {}
+
+    void add(const usage_delta& delta);
+
+    /// What the node itself used for control so far: processor time in
+    /// microseconds and bytes sent.
+    void set_control(std::uint64_t processor_us, std::uint64_t bytes);
+
+    std::vector<usage_row> rows() const;
+
+  private:
+    struct key {
+        owner_name owner;
+        service_name service;
+        overload::importance kind{};
+        bool is_executing_side{};
+
+        auto operator<=>(const key&) const = default;
+    };
+
+    usage_row& row_of(const key& k);
+
+    node_life self_;
+    std::size_t most_rows_;
+    std::map<key, usage_row> rows_;
+};
+
+/// The service name under which control cost is counted.
+constexpr auto control_service = "~control";
+
+} // namespace redwingwind::usage
--- /dev/null
+++ b/source/usage/src/meter.cpp
@@ -0,0 +1,53 @@
+#include <redwingwind/usage/meter.hpp>
+
+namespace redwingwind::usage {
+namespace {
+
+constexpr auto other_owners = "~others";
+
+} // namespace
+
+usage_row& meter::row_of(const key& k) {
+    const auto it = rows_.find(k);
+    if (it != rows_.end())
+        return it->second;
+    auto place = k;
+    if (rows_.size() >= most_rows_)
+        place.owner = {other_owners};
+    auto& row = rows_[place];
+    row.node = self_;
+    row.owner = place.owner;
+    row.service = place.service;
+    row.kind = place.kind;
+    row.is_executing_side = place.is_executing_side;
+    return row;
+}
+
+void meter::add(const usage_delta& delta) {
+    auto& row = row_of(
+        {delta.owner, delta.service, delta.kind, delta.is_executing_side});
+    if (delta.was_refused) {
+        ++row.refused;
+        return;
+    }
+    ++row.calls;
+    row.slot_time_us += delta.slot_time_us;
+    row.wasted_us += delta.was_wasted ? delta.slot_time_us : 0;
+    row.bytes += delta.bytes;
+}
+
+void meter::set_control(std::uint64_t processor_us, std::uint64_t bytes) {
+    auto& row = row_of(
+        {{"~control"}, {control_service}, overload::importance::browse, true});
+    row.slot_time_us = processor_us;
+    row.bytes = bytes;
+}
+
+std::vector<usage_row> meter::rows() const {
+    std::vector<usage_row> all;
+    for (const auto& [k, row] : rows_)
+        all.push_back(row);
+    return all;
+}
+
+} // namespace redwingwind::usage
