--- a/source/coordination/include/redwingwind/coordination/messages.hpp
+++ b/source/coordination/include/redwingwind/coordination/messages.hpp
@@ -6,6 +6,7 @@
 #include <redwingwind/coordination/member.hpp>
 #include <redwingwind/overload/balancer.hpp>
 #include <redwingwind/overload/importance.hpp>
+#include <redwingwind/overload/level_table.hpp>
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -118,8 +119,8 @@
     std::string body;
     std::uint64_t body_digest{};
     std::uint32_t retry_budget_left{};
-    /// Highest admission level on the way below this call.
-    std::uint16_t level{};
+    /// Admission levels of the target and of the services called below it.
+    std::vector<overload::service_level> levels;
     overload::load_report load;
     bool is_leaving{};
     /// Time the target worked on the call.
@@ -128,7 +129,7 @@
     template <class Archive>
     void serialize(Archive& ar) {
         ar(sequence, what, why, status, content_type, body, body_digest,
-           retry_budget_left, level, load, is_leaving, slot_time_us);
+           retry_budget_left, levels, load, is_leaving, slot_time_us);
     }
 };
 
--- /dev/null
+++ b/source/coordination/test/membership_test.cpp
@@ -0,0 +1,373 @@
+#include <redwingwind/coordination/config_spread.hpp>
+#include <redwingwind/coordination/membership.hpp>
+#include <redwingwind/coordination/rendezvous.hpp>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+using namespace redwingwind;
+using namespace redwingwind::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Members that exchange datagrams over a network that loses, repeats and
+/// reorders them; nodes can be stopped, paused and cut off.
+class fake_network {
+  public:
+    explicit fake_network(std::uint64_t seed) : random_(seed) {}
+
+    struct node {
+        std::unique_ptr<membership> members;
+        std::unique_ptr<config_spread> configs;
+        bool is_up{true};
+        bool is_paused{};
+        int side{};
+        std::vector<std::function<void()>> held;
+    };
+
+    void add(int n, std::uint64_t life = 1) {
+        auto& it = nodes_[n];
+        it = node{};
+        member_record self;
+        self.id = {{"n" + std::to_string(n)}, {life}};
+        self.where = {"10.0.0.1", static_cast<std::uint16_t>(1000 + n)};
+        self.region = {"r" + std::to_string(n % 2)};
+        self.domain = {"d" + std::to_string(n % 4)};
+        membership::hooks h;
+        h.send = [this, n](const address& to, const datagram& message) {
+            send(n, to, message);
+        };
+        h.exchange_views = [this, n](const member_record& with) {
+            const int other = index_of(with.where);
+            auto mine = nodes_[n].members->all();
+            mine.push_back(nodes_[n].members->self());
+            deliver(n, other, [this, other, n, mine] {
+                auto& m = *nodes_[other].members;
+                auto theirs = m.all();
+                theirs.push_back(m.self());
+                m.merge(now_, mine);
+                deliver(other, n, [this, n, theirs] {
+                    nodes_[n].members->merge(now_, theirs);
+                });
+            });
+        };
+        h.on_change = [](const member_record&) {};
+        h.on_config = [this, n](const member_record& from,
+                                const config_news& news) {
+            nodes_[n].configs->on_news(now_, from, news);
+        };
+        h.on_config_mismatch = [this, n](const member_record& from) {
+            nodes_[n].configs->exchange(from);
+        };
+        h.generation_of = [](const graph_name&) { return 0; };
+        h.on_census = [](const node_life&, const config_news&) {};
+        h.random = [this] { return random_(); };
+        it.members = std::make_unique<membership>(membership_options{}, self,
+                                                  std::move(h));
+        it.configs = std::make_unique<config_spread>(config_hooks(n));
+        if (n > 0)
+            it.members->add_contact({"10.0.0.1", 1000});
+    }
+
+    void run(duration time) {
+        const auto end = now_ + time;
+        while (now_ < end) {
+            now_ += 10ms;
+            while (!events_.empty() && events_.top().at <= now_) {
+                const auto run_event = events_.top().action;
+                events_.pop();
+                run_event();
+            }
+            for (auto& [n, it] : nodes_)
+                if (it.is_up && !it.is_paused && it.members->next_due() <= now_)
+                    it.members->tick(now_);
+        }
+    }
+
+    /// What n thinks of other; left for a node that it does not know.
+    member_state opinion(int n, int other) const {
+        const auto* known =
+            nodes_.at(n).members->find({"n" + std::to_string(other)});
+        return known == nullptr ? member_state::left : known->state;
+    }
+
+    bool all_agree_alive() const {
+        for (const auto& [n, it] : nodes_)
+            for (const auto& [m, other] : nodes_)
+                if (opinion(n, m) != member_state::alive)
+                    return false;
+        return true;
+    }
+
+    void resume(int n) {
+        nodes_[n].is_paused = false;
+        for (auto& action : std::exchange(nodes_[n].held, {}))
+            action();
+    }
+
+    std::map<int, node> nodes_;
+    double loss{};
+    double repeat{};
+    time_point now_{std::chrono::seconds(100)};
+
+  private:
+    struct event {
+        time_point at;
+        std::uint64_t order{};
+        std::function<void()> action;
+        bool operator<(const event& other) const {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    static int index_of(const address& a) { return a.port - 1000; }
+
+    bool chance(double share) {
+        return double(random_() % 10000) < share * 10000;
+    }
+
+    config_spread::hooks config_hooks(int n) {
+        config_spread::hooks h;
+        h.send = [this, n](const member_record& to, const frame& message) {
+            const int other = index_of(to.where);
+            deliver(n, other, [this, n, other, message] {
+                const auto from = nodes_[n].members->self();
+                auto& configs = *nodes_[other].configs;
+                if (const auto* it = std::get_if<config_frame>(&message))
+                    configs.offer(*it);
+                if (const auto* it =
+                        std::get_if<config_summary_frame>(&message))
+                    configs.on_summary(from, *it);
+            });
+        };
+        h.spread = [this, n](const config_news& news) {
+            auto& it = nodes_[n];
+            it.members->set_config_digest(it.configs->content_digest());
+            it.members->spread(news);
+        };
+        h.on_accept = [](const config_frame&) {};
+        return h;
+    }
+
+    void send(int from, const address& to, const datagram& message) {
+        const int other = index_of(to);
+        const int copies = chance(loss) ? 0 : (chance(repeat) ? 2 : 1);
+        for (int n = 0; n < copies; ++n)
+            deliver(from, other, [this, from, other, message] {
+                nodes_[other].members->receive(
+                    now_, {"10.0.0.1", static_cast<std::uint16_t>(1000 + from)},
+                    message);
+            });
+    }
+
+    void deliver(int from, int to, std::function<void()> action) {
+        const auto delay = std::chrono::milliseconds(1 + random_() % 20);
+        events_.push({now_ + delay, next_++, [this, from, to, action] {
+                          const auto it = nodes_.find(to);
+                          if (it == nodes_.end() || !it->second.is_up ||
+                              !nodes_[from].is_up ||
+                              nodes_[from].side != it->second.side)
+                              return;
+                          if (it->second.is_paused)
+                              it->second.held.push_back(action);
+                          else
+                              action();
+                      }});
+    }
+
+    std::mt19937_64 random_;
+    std::uint64_t next_{};
+    std::priority_queue<event> events_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(nodes)
+
+BOOST_AUTO_TEST_CASE(that_start_together_find_each_other) {
+    fake_network network(1);
+    for (int n = 0; n < 20; ++n)
+        network.add(n);
+    network.run(10s);
+    BOOST_TEST(network.all_agree_alive());
+}
+
+BOOST_AUTO_TEST_SUITE(that_fail)
+
+BOOST_AUTO_TEST_CASE(are_found_dead_by_all) {
+    fake_network network(2);
+    for (int n = 0; n < 12; ++n)
+        network.add(n);
+    network.run(8s);
+    network.nodes_[5].is_up = false;
+    network.run(20s);
+    for (const auto& [n, it] : network.nodes_)
+        if (n != 5)
+            BOOST_TEST(int(network.opinion(n, 5)) == int(member_state::dead));
+}
+
+BOOST_AUTO_TEST_CASE(come_back_in_a_later_life) {
+    fake_network network(3);
+    for (int n = 0; n < 8; ++n)
+        network.add(n);
+    network.run(8s);
+    network.nodes_[5].is_up = false;
+    network.run(15s);
+    network.add(5, 2);
+    network.run(10s);
+    BOOST_TEST(network.all_agree_alive());
+}
+
+BOOST_AUTO_TEST_CASE(by_a_pause_are_alive_again_after_it) {
+    fake_network network(4);
+    for (int n = 0; n < 10; ++n)
+        network.add(n);
+    network.run(8s);
+    network.nodes_[3].is_paused = true;
+    network.run(15s);
+    BOOST_TEST(int(network.opinion(0, 3)) == int(member_state::dead));
+    network.resume(3);
+    network.run(20s);
+    BOOST_TEST(network.all_agree_alive());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(that_leave_stay_away_whatever_old_news_comes) {
+    fake_network network(5);
+    for (int n = 0; n < 10; ++n)
+        network.add(n);
+    network.run(8s);
+    const auto old_news = network.nodes_[4].members->self();
+    network.nodes_[4].members->leave(network.now_);
+    network.run(3s);
+    network.nodes_[4].is_up = false;
+    for (int n = 0; n < 4; ++n)
+        network.nodes_[n].members->merge(network.now_, {old_news});
+    network.run(10s);
+    for (const auto& [n, it] : network.nodes_)
+        if (n != 4)
+            BOOST_TEST(int(network.opinion(n, 4)) == int(member_state::left));
+}
+
+BOOST_AUTO_TEST_CASE(that_lost_each_other_for_long_meet_again) {
+    fake_network network(6);
+    for (int n = 0; n < 10; ++n)
+        network.add(n);
+    network.run(8s);
+    for (auto& [n, it] : network.nodes_)
+        it.side = n % 2;
+    network.run(60s);
+    BOOST_TEST(int(network.opinion(0, 1)) == int(member_state::dead));
+    for (auto& [n, it] : network.nodes_)
+        it.side = 0;
+    network.run(60s);
+    BOOST_TEST(network.all_agree_alive());
+}
+
+RC_BOOST_PROP(views_converge_after_loss_repetition_pauses_and_cuts, ()) {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const int count = *rc::gen::inRange(3, 9);
+    fake_network network(seed);
+    for (int n = 0; n < count; ++n)
+        network.add(n);
+    network.loss = *rc::gen::element(0.0, 0.1, 0.3);
+    network.repeat = *rc::gen::element(0.0, 0.2);
+    network.run(6s);
+    const int victim = *rc::gen::inRange(0, count);
+    network.nodes_[victim].is_paused = true;
+    network.run(std::chrono::seconds(*rc::gen::inRange(1, 10)));
+    network.nodes_[*rc::gen::inRange(0, count)].side = 1;
+    network.run(std::chrono::seconds(*rc::gen::inRange(1, 10)));
+    network.resume(victim);
+    for (auto& [n, it] : network.nodes_)
+        it.side = 0;
+    network.loss = 0;
+    network.run(60s);
+    RC_ASSERT(network.all_agree_alive());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(configurations)
+
+BOOST_AUTO_TEST_CASE(reach_every_node_within_five_seconds) {
+    fake_network network(7);
+    for (int n = 0; n < 40; ++n)
+        network.add(n);
+    network.run(10s);
+    network.loss = 0.1;
+    network.nodes_[3].configs->offer({{"g"}, 1, "c1", "one"});
+    network.run(5s);
+    for (const auto& [n, it] : network.nodes_)
+        BOOST_TEST((it.configs->find({"g"}) != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(reach_a_node_that_was_cut_off) {
+    fake_network network(8);
+    for (int n = 0; n < 8; ++n)
+        network.add(n);
+    network.run(8s);
+    network.nodes_[5].side = 1;
+    network.nodes_[3].configs->offer({{"g"}, 1, "c1", "one"});
+    network.run(20s);
+    BOOST_TEST((network.nodes_[5].configs->find({"g"}) == nullptr));
+    network.nodes_[5].side = 0;
+    network.run(30s);
+    BOOST_TEST((network.nodes_[5].configs->find({"g"}) != nullptr));
+}
+
+RC_BOOST_PROP(generations_only_rise_whatever_is_replayed, ()) {
+    fake_network network(*rc::gen::arbitrary<std::uint64_t>());
+    for (int n = 0; n < 5; ++n)
+        network.add(n);
+    network.run(4s);
+    std::map<int, std::uint64_t> highest;
+    const auto offers =
+        *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 50));
+    for (const auto offer : offers) {
+        const auto generation = static_cast<std::uint64_t>(1 + offer / 5);
+        network.nodes_[offer % 5].configs->offer(
+            {{"g"}, generation, "c", std::to_string(generation)});
+        network.run(50ms);
+        for (auto& [n, it] : network.nodes_) {
+            const auto* known = it.configs->find({"g"});
+            const auto value = known == nullptr ? 0 : known->generation;
+            RC_ASSERT(value >= highest[n]);
+            highest[n] = value;
+        }
+    }
+    network.run(20s);
+    const auto top = network.nodes_[0].configs->find({"g"})->generation;
+    for (const auto& [n, it] : network.nodes_)
+        RC_ASSERT(it.configs->find({"g"})->generation == top);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(duties)
+
+BOOST_AUTO_TEST_CASE(move_little_when_a_node_goes) {
+    std::vector<node_name> nodes;
+    for (int n = 0; n < 50; ++n)
+        nodes.push_back({"n" + std::to_string(n)});
+    auto fewer = nodes;
+    fewer.erase(fewer.begin() + 7);
+    int moved = 0;
+    for (int duty = 0; duty < 200; ++duty) {
+        const auto name = "duty-" + std::to_string(duty);
+        if (choose_holders(nodes, name, 1) != choose_holders(fewer, name, 1))
+            ++moved;
+    }
+    BOOST_TEST(moved < 15);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/source/engine/include/redwingwind/engine/caller.hpp
+++ b/source/engine/include/redwingwind/engine/caller.hpp
@@ -63,7 +63,9 @@
         std::function<void(std::uint64_t execution, std::uint32_t lent,
                            std::uint32_t left)>
             give_back;
-        std::function<void(std::uint64_t execution, overload::rank)> note_level;
+        std::function<void(std::uint64_t execution,
+                           const std::vector<overload::service_level>&)>
+            note_levels;
         std::function<void(const call_usage&)> meter;
         random_hook random;
     };
@@ -101,6 +103,9 @@
 
     overload::rank known_level(time_point now,
                                const call_request& request) const;
+    /// A call was refused for known_level(): its execution's own caller is
+    /// told of the levels below with the reply.
+    void on_shed_early(time_point now, const call_request& request) const;
     std::size_t in_flight() const { return calls_.size(); }
     const caller_counters& counters() const { return counters_; }
 
--- a/source/engine/include/redwingwind/engine/executor.hpp
+++ b/source/engine/include/redwingwind/engine/executor.hpp
@@ -5,6 +5,7 @@
 #include <redwingwind/engine/call.hpp>
 #include <redwingwind/engine/target_result.hpp>
 #include <redwingwind/overload/admission.hpp>
+#include <redwingwind/overload/level_table.hpp>
 #include <redwingwind/overload/policy.hpp>
 #include <redwingwind/overload/retry_ledger.hpp>
 
@@ -97,7 +98,8 @@
     std::uint32_t lend(std::uint64_t execution);
     void give_back(std::uint64_t execution, std::uint32_t lent,
                    std::uint32_t left);
-    void note_level(std::uint64_t execution, overload::rank level);
+    void note_levels(std::uint64_t execution,
+                     const std::vector<overload::service_level>& levels);
 
     std::size_t running() const;
     std::size_t queued() const;
@@ -111,7 +113,7 @@
         call_origin origin;
         call_request request;
         overload::retry_ledger ledger;
-        overload::rank level_below;
+        std::vector<overload::service_level> levels_below;
         time_point started;
         bool is_running{};
         bool is_unwanted{};
--- a/source/engine/src/caller.cpp
+++ b/source/engine/src/caller.cpp
@@ -67,6 +67,12 @@
                          now);
 }
 
+void caller::on_shed_early(time_point now, const call_request& request) const {
+    const auto route = overload::route_key(request.service, request.path);
+    if (request.parent != 0)
+        hooks_.note_levels(request.parent, levels_.levels(route, now));
+}
+
 std::uint64_t caller::add(const call_request& request, reply_hook on_reply) {
     ++counters_.calls;
     const auto id = next_call_++;
@@ -217,18 +223,17 @@
         ++counters_.stray_replies;
         return;
     }
-    const overload::rank level{reply.level};
     if (!it->is_for_home) {
         levels_.learn(
-            overload::route_key(it->request.service, it->request.path), level,
-            now);
+            overload::route_key(it->request.service, it->request.path),
+            reply.levels, now);
         settle_load(now, *it, health::answers, reply.load);
         auto* balance = router_.find(it->request.service);
         if (reply.is_leaving && balance != nullptr)
             balance->drop(from.name);
     }
     if (it->request.parent != 0)
-        hooks_.note_level(it->request.parent, level);
+        hooks_.note_levels(it->request.parent, reply.levels);
     it->ledger.give_back(it->lent, reply.retry_budget_left);
     it->lent = 0;
     if (!it->is_for_home && !it->is_ticket_cancel)
--- a/source/engine/src/executor.cpp
+++ b/source/engine/src/executor.cpp
@@ -276,8 +276,7 @@
     by_origin_.erase(ended.origin);
     reply.sequence = ended.origin.sequence;
     reply.slot_time_us = static_cast<std::uint64_t>(slot_time.count());
-    const auto level = std::max(ended.level_below, this->level());
-    reply.level = level.value;
+    reply.levels = ended.levels_below;
     fill_load(now, reply);
     const bool ran = ended.is_running;
     const bool is_good =
@@ -290,7 +289,8 @@
 }
 
 void executor::fill_load(time_point now, reply_frame& reply) const {
-    reply.level = std::max(reply.level, level().value);
+    if (target_)
+        overload::merge(reply.levels, {{target_->service, level().value}});
     reply.load = {static_cast<std::uint32_t>(running()),
                   static_cast<std::uint32_t>(queued()), limit(now)};
     reply.is_leaving = is_draining();
@@ -319,10 +319,11 @@
         it->second.ledger.give_back(lent, left);
 }
 
-void executor::note_level(std::uint64_t id, overload::rank level) {
+void executor::note_levels(std::uint64_t id,
+                           const std::vector<overload::service_level>& levels) {
     const auto it = executions_.find(id);
     if (it != executions_.end())
-        it->second.level_below = std::max(it->second.level_below, level);
+        overload::merge(it->second.levels_below, levels);
 }
 
 } // namespace redwingwind::engine
--- a/source/engine/src/node_core.cpp
+++ b/source/engine/src/node_core.cpp
@@ -159,8 +159,9 @@
                          std::uint32_t left) {
         executor_.give_back(id, lent, left);
     };
-    h.note_level = [this](std::uint64_t id, overload::rank level) {
-        executor_.note_level(id, level);
+    h.note_levels = [this](std::uint64_t id,
+                           const std::vector<overload::service_level>& levels) {
+        executor_.note_levels(id, levels);
     };
     h.meter = [this](const call_usage& use) {
         meter_.add({use.owner, use.service, use.kind, false, use.was_refused,
@@ -213,6 +214,8 @@
     };
     call_state state{call, {}, environment};
     if (const auto reply = run(incoming_filters(), state)) {
+        if (reply->why == error_code::overloaded)
+            caller_.on_shed_early(now, state.request);
         on_reply(state.request, *reply);
         return 0;
     }
--- a/source/experiment/src/load_driver.cpp
+++ b/source/experiment/src/load_driver.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace redwingwind::experiment {
 namespace {
@@ -32,9 +33,10 @@
 
 load_driver::load_driver(io::reactor& loop, const experiment_config& config,
                          const deployment& where, bool uses_tickets,
-                         std::uint64_t seed)
+                         std::uint64_t seed, std::string id_prefix)
     : loop_(loop), config_(config), where_(where), uses_tickets_(uses_tickets),
-      random_(seed), client_(loop, idle_connections) {
+      random_(seed), client_(loop, idle_connections),
+      id_prefix_(std::move(id_prefix)) {
     if (!uses_tickets_)
         return;
     fetch_tickets();
@@ -105,7 +107,7 @@
 }
 
 void load_driver::begin_request() {
-    const auto id = absl::StrCat("q", next_number_++);
+    const auto id = absl::StrCat(id_prefix_, next_number_++);
     auto& it = results_[id];
     it.kind = draw_kind();
     it.first_sent = steady_now();
--- a/source/experiment/src/load_driver.hpp
+++ b/source/experiment/src/load_driver.hpp
@@ -37,8 +37,8 @@
 class load_driver {
   public:
     load_driver(io::reactor& loop, const experiment_config& config,
-                const deployment& where, bool uses_tickets,
-                std::uint64_t seed);
+                const deployment& where, bool uses_tickets, std::uint64_t seed,
+                std::string id_prefix);
 
     /// Sends for a time at a rate; returns when the time is over.
     void run(double requests_per_second, duration time);
@@ -65,6 +65,8 @@
     bool uses_tickets_;
     std::mt19937_64 random_;
     io::http_client client_;
+    /// Keeps the requests of several drivers apart in the targets' records.
+    std::string id_prefix_;
     std::uint64_t next_number_{1};
     std::size_t open_{};
     std::vector<std::string> tickets_;
--- a/source/experiment/src/main.cpp
+++ b/source/experiment/src/main.cpp
@@ -130,7 +130,8 @@
                        std::uint64_t seed) {
     double best = 0;
     for (const double step : {0.9, 1.0, 1.1, 1.2, 1.3, 1.5}) {
-        load_driver driver(loop, config, where, uses_tickets, seed);
+        load_driver driver(loop, config, where, uses_tickets, seed,
+                           absl::StrCat("saturation-", step, "-"));
         driver.run(config.base_rps * step, std::chrono::seconds(1));
         const auto from = steady_now();
         driver.run(config.base_rps * step, saturation_step);
@@ -166,7 +167,7 @@
         saturation =
             find_saturation(loop, config, where, uses_tickets, seed + 1000);
     }
-    load_driver driver(loop, config, where, uses_tickets, seed);
+    load_driver driver(loop, config, where, uses_tickets, seed, "main-");
     const double base = config.base_rps * absl::GetFlag(FLAGS_base);
     const double surge = config.base_rps * absl::GetFlag(FLAGS_surge);
     const double slow = absl::GetFlag(FLAGS_slow);
@@ -202,10 +203,10 @@
     const auto config = read_config(absl::GetFlag(FLAGS_config));
     const auto deployments = read_deployments(absl::GetFlag(FLAGS_endpoints));
     if (!config.ok() || !deployments.ok()) {
-        std::cerr << "redwingwind-experiment: "
-                  << (config.ok() ? deployments.status() : config.status())
-                         .message()
-                  << "\n";
+        std::cerr
+            << "redwingwind-experiment: "
+            << (config.ok() ? deployments.status() : config.status()).message()
+            << "\n";
         return 2;
     }
     const auto wanted = absl::GetFlag(FLAGS_mode);
@@ -237,10 +238,9 @@
     else
         std::ofstream(file) << json.dump(2) << "\n";
     if (!absl::GetFlag(FLAGS_plot).empty())
-        std::ofstream(absl::GetFlag(FLAGS_plot))
-            << plot(config->name, all_series,
-                    seconds(times.surge - times.steady),
-                    seconds(times.calm - times.steady));
+        std::ofstream(absl::GetFlag(FLAGS_plot)) << plot(
+            config->name, all_series, seconds(times.surge - times.steady),
+            seconds(times.calm - times.steady));
     return EXIT_SUCCESS;
 }
 
--- a/source/experiment/src/report.cpp
+++ b/source/experiment/src/report.cpp
@@ -69,8 +69,8 @@
 
 nlohmann::json recovery_seconds(const results_type& results,
                                 const run_times& times) {
-    const auto bins = static_cast<std::size_t>(seconds(times.end - times.calm) /
-                                               interval_s);
+    const auto bins =
+        static_cast<std::size_t>(seconds(times.end - times.calm) / interval_s);
     std::vector<double> sent(bins);
     std::vector<double> good(bins);
     for (const auto& [id, it] : results) {
@@ -161,8 +161,7 @@
     std::uint32_t wrong_answers = 0;
     for (const auto& [id, it] : results) {
         const bool all_not_run = it.not_run == it.sendings;
-        not_run_but_ran +=
-            all_not_run && counts.executed.count(id) > 0 ? 1 : 0;
+        not_run_but_ran += all_not_run && counts.executed.count(id) > 0 ? 1 : 0;
         wrong_answers += it.got_wrong_answer ? 1 : 0;
     }
     return {{"not_run_but_executed", not_run_but_ran},
@@ -197,28 +196,27 @@
                            const run_times& times,
                            const added_latency& latency) {
     const auto counts = count_executions(config, results, records);
-    return {
-        {"offered_per_second",
-         {{"steady", offered(results, times.steady, times.surge)},
-          {"surge", offered(results, times.surge, times.calm)},
-          {"calm", offered(results, times.calm, times.end)}}},
-        {"goodput_per_second",
-         {{"steady", goodput(results, times.steady, times.surge)},
-          {"surge", goodput(results, times.surge, times.calm)},
-          {"calm", goodput(results, times.calm, times.end)}}},
-        {"surge_by_class", by_class(config, results, times)},
-        {"recovery_seconds", recovery_seconds(results, times)},
-        {"attempts_per_request", attempts(results, counts)},
-        {"wasted_work_share", wasted_share(results, records)},
-        {"added_latency_us",
-         {{"p50", percentile(latency.through_us, 0.5) -
-                      percentile(latency.direct_us, 0.5)},
-          {"p99", percentile(latency.through_us, 0.99) -
-                      percentile(latency.direct_us, 0.99)},
-          {"direct_p50", percentile(latency.direct_us, 0.5)},
-          {"direct_p99", percentile(latency.direct_us, 0.99)}}},
-        {"answers", outcome_counts(results)},
-        {"contradictions", contradictions(results, counts)}};
+    return {{"offered_per_second",
+             {{"steady", offered(results, times.steady, times.surge)},
+              {"surge", offered(results, times.surge, times.calm)},
+              {"calm", offered(results, times.calm, times.end)}}},
+            {"goodput_per_second",
+             {{"steady", goodput(results, times.steady, times.surge)},
+              {"surge", goodput(results, times.surge, times.calm)},
+              {"calm", goodput(results, times.calm, times.end)}}},
+            {"surge_by_class", by_class(config, results, times)},
+            {"recovery_seconds", recovery_seconds(results, times)},
+            {"attempts_per_request", attempts(results, counts)},
+            {"wasted_work_share", wasted_share(results, records)},
+            {"added_latency_us",
+             {{"p50", percentile(latency.through_us, 0.5) -
+                          percentile(latency.direct_us, 0.5)},
+              {"p99", percentile(latency.through_us, 0.99) -
+                          percentile(latency.direct_us, 0.99)},
+              {"direct_p50", percentile(latency.direct_us, 0.5)},
+              {"direct_p99", percentile(latency.direct_us, 0.99)}}},
+            {"answers", outcome_counts(results)},
+            {"contradictions", contradictions(results, counts)}};
 }
 
 goodput_series make_series(const std::string& mode, const results_type& results,
@@ -251,8 +249,7 @@
     for (const auto& it : all) {
         for (const auto n : it.per_second)
             most = std::max(most, n);
-        time_s =
-            std::max(time_s, it.interval_s * double(it.per_second.size()));
+        time_s = std::max(time_s, it.interval_s * double(it.per_second.size()));
     }
     const auto x = [&](double s) { return left + s / time_s * width; };
     const auto y = [&](double n) { return top + height * (1 - n / most); };
--- a/source/experiment/src/report.hpp
+++ b/source/experiment/src/report.hpp
@@ -50,14 +50,13 @@
                            const run_times& times,
                            const added_latency& latency);
 
-goodput_series
-make_series(const std::string& mode,
-            const std::map<std::string, request_result>& results,
-            const run_times& times);
+goodput_series make_series(const std::string& mode,
+                           const std::map<std::string, request_result>& results,
+                           const run_times& times);
 
 /// An SVG of goodput over time, one line per mode.
 std::string plot(const std::string& title,
-                 const std::vector<goodput_series>& all,
-                 double surge_from_s, double surge_to_s);
+                 const std::vector<goodput_series>& all, double surge_from_s,
+                 double surge_to_s);
 
 } // namespace redwingwind::experiment
--- a/source/overload/include/redwingwind/overload/concurrency_limit.hpp
+++ b/source/overload/include/redwingwind/overload/concurrency_limit.hpp
@@ -19,7 +19,7 @@
 };
 
 /// How many calls a target may run at once. While the target is saturated the
-/// limit is lowered a little for one window in eight; if the mean latency
+/// limit is lowered a little for one window in sixteen; if the mean latency
 /// falls along with it, calls were waiting inside the target and the limit
 /// goes down, and if the latency stays, the slots were real and it goes up.
 /// A slower target by itself therefore does not lose concurrency.
--- a/source/overload/include/redwingwind/overload/level_control.hpp
+++ b/source/overload/include/redwingwind/overload/level_control.hpp
@@ -9,8 +9,9 @@
 namespace redwingwind::overload {
 
 /// Finds the admission level of one target: requests of a lower rank are
-/// refused. The level rises to where the arrivals of the last window would
-/// have fitted, and falls by steps that grow while the target is not busy.
+/// refused. The level rises to where the arrivals counted last would have
+/// fitted, once there are enough of them to tell overload from chance, and
+/// falls by steps that grow while the target is not busy.
 class level_control {
   public:
     explicit level_control(double decay) : decay_(decay) {}
@@ -31,11 +32,14 @@
     void close_window(time_point now);
     void raise();
     void lower();
+    void restart_count();
 
     double decay_;
     rank level_{};
     double step_{1.0};
     time_point window_start_{};
+    time_point count_start_{};
+    std::uint32_t arrived_{};
     time_point last_sample_{};
     double last_share_{};
     double busy_seconds_{};
--- a/source/overload/src/admission.cpp
+++ b/source/overload/src/admission.cpp
@@ -9,7 +9,7 @@
 /// A call is too late when less than this share of the usual latency is left;
 /// below 1 because the mean is no lower bound.
 constexpr double latency_needed = 0.5;
-constexpr std::size_t least_queue = 4;
+constexpr std::size_t least_queue = 16;
 
 } // namespace
 
--- a/source/overload/src/concurrency_limit.cpp
+++ b/source/overload/src/concurrency_limit.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr auto window = std::chrono::milliseconds(200);
-constexpr int windows_per_cycle = 8;
+constexpr int windows_per_cycle = 16;
 constexpr double lowered_share = 0.8;
 constexpr double saturated_share = 0.9;
-constexpr std::uint32_t samples_needed = 64;
+constexpr std::uint32_t samples_needed = 200;
 constexpr double smoothing = 0.3;
 constexpr double waiting_elasticity = 0.7;
 constexpr double free_elasticity = 0.3;
--- a/source/overload/src/level_control.cpp
+++ b/source/overload/src/level_control.cpp
@@ -6,12 +6,16 @@
 namespace {
 
 constexpr auto window = std::chrono::milliseconds(50);
+/// Arrivals to count before the level may rise, or the time for them.
+constexpr std::uint32_t arrivals_to_count = 24;
+constexpr auto most_count_time = std::chrono::milliseconds(250);
 constexpr double busy_share = 0.9;
 
 } // namespace
 
 void level_control::on_arrival(rank r) {
     ++arrivals_[r.value];
+    ++arrived_;
 }
 
 void level_control::on_occupancy(time_point now, double share,
@@ -19,6 +23,7 @@
     if (last_sample_ == time_point{}) {
         last_sample_ = now;
         window_start_ = now;
+        count_start_ = now;
     }
     busy_seconds_ += last_share_ * seconds(now - last_sample_);
     last_sample_ = now;
@@ -30,13 +35,23 @@
 
 void level_control::close_window(time_point now) {
     const double busy = busy_seconds_ / seconds(now - window_start_);
-    if (refused_ > 0 && !was_queue_empty_)
-        raise();
-    else if (busy < busy_share)
-        lower();
     window_start_ = now;
     busy_seconds_ = 0;
+    if (busy < busy_share)
+        lower();
+    const bool is_counted =
+        arrived_ >= arrivals_to_count || now - count_start_ >= most_count_time;
+    if (!is_counted)
+        return;
+    if (refused_ > 0 && !was_queue_empty_)
+        raise();
+    count_start_ = now;
+    restart_count();
+}
+
+void level_control::restart_count() {
     was_queue_empty_ = false;
+    arrived_ = 0;
     started_ = 0;
     refused_ = 0;
     arrivals_.fill(0);
--- a/source/overload/src/level_table.cpp
+++ b/source/overload/src/level_table.cpp
@@ -7,46 +7,92 @@
 namespace {
 
 /// A level told this long ago counts in full; after that it halves at every
-/// such interval.
-constexpr auto half_life = std::chrono::milliseconds(200);
-/// A lower level takes effect gradually: several targets of one service may
-/// tell different levels in turn.
-constexpr double fall_weight = 0.25;
+/// half life.
+constexpr auto fresh_time = std::chrono::milliseconds(300);
+constexpr auto half_life = std::chrono::milliseconds(150);
+/// The targets of one service tell different levels in turn.
+constexpr double weight_of_one_reply = 0.3;
 
 } // namespace
 
+void merge(std::vector<service_level>& into,
+           const std::vector<service_level>& more) {
+    for (const auto& it : more) {
+        const auto known =
+            std::find_if(into.begin(), into.end(), [&](const service_level& a) {
+                return a.service == it.service;
+            });
+        if (known != into.end())
+            known->level = std::max(known->level, it.level);
+        else if (into.size() < most_services_on_a_way)
+            into.push_back(it);
+    }
+}
+
 std::string route_key(const service_name& service, std::string_view path) {
     const auto from = path.empty() || path[0] != '/' ? 0U : 1U;
     const auto end = std::min(path.find_first_of("/?", from), path.size());
     return service.value + "/" + std::string(path.substr(from, end - from));
 }
 
-void level_table::learn(const std::string& route, rank level, time_point now) {
-    auto it = entries_.find(route);
-    if (it == entries_.end()) {
-        if (level.value == 0 || entries_.size() >= most_routes_)
-            return;
-        entries_.emplace(route, entry{double(level.value), now});
-        return;
-    }
-    const double known = this->level(route, now).value;
-    const double told = level.value;
-    const double next =
-        told >= known ? told : known + fall_weight * (told - known);
+double level_table::level_of(const service_name& service,
+                             time_point now) const {
+    const auto it = services_.find(service);
+    if (it == services_.end())
+        return 0;
+    const double age = seconds(now - it->second.at - fresh_time);
+    const double fade = age <= 0 ? 1 : std::exp2(-age / seconds(half_life));
+    return it->second.level * fade;
+}
+
+void level_table::learn_service(const service_level& told, time_point now) {
+    const double known = level_of(told.service, now);
+    const double next = known + weight_of_one_reply * (told.level - known);
     if (next < 1.0) {
-        entries_.erase(it);
+        services_.erase(told.service);
         return;
     }
-    it->second = entry{next, now};
+    if (services_.size() < most_entries_ || services_.count(told.service) > 0)
+        services_[told.service] = {next, now};
+}
+
+void level_table::learn(const std::string& route,
+                        const std::vector<service_level>& levels,
+                        time_point now) {
+    for (const auto& it : levels)
+        learn_service(it, now);
+    const auto known = routes_.find(route);
+    if (known == routes_.end() && routes_.size() >= most_entries_)
+        return;
+    auto& way = known == routes_.end() ? routes_[route] : known->second;
+    for (const auto& it : levels)
+        if (way.size() < most_services_on_a_way &&
+            std::find(way.begin(), way.end(), it.service) == way.end())
+            way.push_back(it.service);
 }
 
 rank level_table::level(const std::string& route, time_point now) const {
-    const auto it = entries_.find(route);
-    if (it == entries_.end())
+    const auto it = routes_.find(route);
+    if (it == routes_.end())
         return {};
-    const double age = seconds(now - it->second.at) / seconds(half_life);
-    const double fade = age <= 1.0 ? 1.0 : std::exp2(1.0 - age);
-    return rank{static_cast<std::uint16_t>(it->second.level * fade)};
+    double most = 0;
+    for (const auto& service : it->second)
+        most = std::max(most, level_of(service, now));
+    return rank{static_cast<std::uint16_t>(most)};
+}
+
+std::vector<service_level> level_table::levels(const std::string& route,
+                                               time_point now) const {
+    std::vector<service_level> all;
+    const auto it = routes_.find(route);
+    if (it == routes_.end())
+        return all;
+    for (const auto& service : it->second) {
+        const auto n = static_cast<std::uint16_t>(level_of(service, now));
+        if (n > 0)
+            all.push_back({service, n});
+    }
+    return all;
 }
 
 } // namespace redwingwind::overload
--- /dev/null
+++ b/source/overload/test/admission_test.cpp
@@ -0,0 +1,189 @@
+#define BOOST_TEST_MODULE overload
+#include <redwingwind/overload/admission.hpp>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace redwingwind;
+using namespace redwingwind::overload;
+using namespace std::chrono_literals;
+
+namespace {
+
+time_point at(std::int64_t ms) {
+    return time_point(std::chrono::milliseconds(ms + 1000));
+}
+
+work make_work(std::uint64_t id, importance kind, time_point deadline,
+               const std::string& owner = "a") {
+    return {id, rank_of(kind, std::to_string(id)), {owner}, deadline};
+}
+
+admission make_admission(std::uint32_t slots, double queue_per_slot = 0.5) {
+    admission_options options;
+    options.limit.start = slots;
+    options.limit.warm_up = duration::zero();
+    options.queue_per_slot = queue_per_slot;
+    return {options, [](const owner_name&) { return 1.0; }, at(0)};
+}
+
+/// Follows what an admission decided, to check it from outside.
+struct follower {
+    std::map<std::uint64_t, importance> waiting;
+    std::map<std::uint64_t, importance> running;
+
+    void apply(const admission_steps& steps) {
+        for (const auto& it : steps.refuse)
+            waiting.erase(it.id);
+        for (const auto id : steps.stop)
+            running.erase(id);
+        for (const auto id : steps.start) {
+            running[id] = waiting.at(id);
+            waiting.erase(id);
+        }
+    }
+
+    bool has_lower() const {
+        const auto is_lower = [](const auto& it) {
+            return !is_critical(it.second);
+        };
+        return std::any_of(waiting.begin(), waiting.end(), is_lower) ||
+               std::any_of(running.begin(), running.end(), is_lower);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(admission_of_calls)
+
+BOOST_AUTO_TEST_SUITE(while_there_is_room)
+
+BOOST_AUTO_TEST_CASE(a_call_starts_at_once) {
+    auto a = make_admission(2);
+    const auto steps =
+        a.arrive(at(1), make_work(1, importance::browse, at(500)));
+    BOOST_TEST(steps.start == std::vector<std::uint64_t>{1});
+    BOOST_TEST(a.running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_next_one_waits_and_starts_when_a_slot_is_free) {
+    auto a = make_admission(1);
+    a.arrive(at(1), make_work(1, importance::browse, at(500)));
+    BOOST_TEST(a.arrive(at(2), make_work(2, importance::browse, at(500)))
+                   .start.empty());
+    const auto steps = a.finish(at(3), 1, work_end::completed);
+    BOOST_TEST(steps.start == std::vector<std::uint64_t>{2});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_queue_is_full)
+
+BOOST_AUTO_TEST_CASE(an_order_displaces_a_waiting_browse) {
+    auto a = make_admission(1);
+    std::uint64_t id = 1;
+    while (a.queued() < 16)
+        a.arrive(at(1), make_work(id++, importance::browse, at(5000)));
+    const auto steps =
+        a.arrive(at(2), make_work(id, importance::order, at(5000)));
+    BOOST_REQUIRE(steps.refuse.size() == 1U);
+    BOOST_TEST(steps.refuse[0].id != id);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_stops_a_running_browse_rather_than_be_refused) {
+    auto a = make_admission(1);
+    a.arrive(at(1), make_work(1, importance::browse, at(5000)));
+    std::uint64_t id = 2;
+    while (a.queued() < 16)
+        a.arrive(at(1), make_work(id++, importance::order, at(5000)));
+    const auto steps =
+        a.arrive(at(2), make_work(id, importance::order, at(5000)));
+    BOOST_TEST(steps.refuse.empty());
+    BOOST_TEST(steps.stop == std::vector<std::uint64_t>{1});
+}
+
+BOOST_AUTO_TEST_CASE(the_owner_above_its_share_is_refused_first) {
+    auto a = make_admission(1);
+    std::uint64_t id = 1;
+    while (a.queued() < 16)
+        a.arrive(at(1), make_work(id++, importance::browse, at(5000), "many"));
+    const auto steps =
+        a.arrive(at(2), make_work(id, importance::browse, at(5000), "few"));
+    BOOST_REQUIRE(steps.refuse.size() == 1U);
+    BOOST_TEST(steps.refuse[0].id != id);
+    BOOST_TEST(int(steps.refuse[0].why) == int(error_code::over_share));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(deadlines)
+
+BOOST_AUTO_TEST_CASE(work_that_cannot_finish_is_refused_at_once) {
+    auto a = make_admission(4);
+    a.arrive(at(0), make_work(1, importance::browse, at(5000)));
+    a.finish(at(100), 1, work_end::completed);
+    const auto steps =
+        a.arrive(at(101), make_work(2, importance::browse, at(110)));
+    BOOST_REQUIRE(steps.refuse.size() == 1U);
+    BOOST_TEST(int(steps.refuse[0].why) == int(error_code::deadline_too_short));
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_call_is_refused_when_its_time_is_over) {
+    auto a = make_admission(1);
+    a.arrive(at(0), make_work(1, importance::browse, at(5000)));
+    a.arrive(at(0), make_work(2, importance::browse, at(50)));
+    const auto steps = a.tick(at(60));
+    BOOST_REQUIRE(steps.refuse.size() == 1U);
+    BOOST_TEST(steps.refuse[0].id == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(for_any_arrivals)
+
+// "Never is a payment or order refused for load while a browse or lookup is
+// admitted or queued there."
+RC_BOOST_PROP(no_order_is_refused_for_load_while_lower_work_is_there, ()) {
+    const auto slots = *rc::gen::inRange(1, 6);
+    auto a = make_admission(static_cast<std::uint32_t>(slots),
+                            *rc::gen::element(0.25, 0.5, 2.0));
+    follower seen;
+    const auto events =
+        *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 100));
+    std::int64_t now = 0;
+    std::uint64_t next = 1;
+    for (const auto event : events) {
+        now += event % 7;
+        if (event < 60 || seen.running.empty()) {
+            const auto kind = static_cast<importance>(event % 4);
+            const auto item = make_work(next++, kind, at(now + 4000));
+            seen.waiting[item.id] = kind;
+            const auto steps = a.arrive(at(now), item);
+            const auto kind_of = seen.waiting;
+            seen.apply(steps);
+            for (const auto& it : steps.refuse) {
+                const bool is_for_load = it.why == error_code::overloaded ||
+                                         it.why == error_code::over_share;
+                if (is_for_load && is_critical(kind_of.at(it.id)))
+                    RC_ASSERT(!seen.has_lower());
+            }
+        } else if (event < 95) {
+            const auto id = seen.running.begin()->first;
+            seen.running.erase(id);
+            seen.apply(a.finish(at(now), id, work_end::completed));
+        } else {
+            seen.apply(a.tick(at(now)));
+        }
+        RC_ASSERT(a.running() == seen.running.size());
+        RC_ASSERT(a.queued() == seen.waiting.size());
+        RC_ASSERT(a.running() <= a.limit(at(now)) * 2U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
