node, coordination: planned stop no longer crashes; contacts and seeds when alone

Cause: 1. exit code 139 after SIGTERM: ACE_Sig_Handler looks at its handlers when it ends, and the stop handler ended first (seen with ASan). 2. A contact whose node goes by another address was probed for ever, past the proxies in the partition test; a node whose peers were all replaced never looked for seeds again. Change: order of members; contacts are known by the probe's sequence, and asked again only when no live node is known; seeds likewise. Conclusion: planned stops exit 0; partitions heal.

--- a/source/coordination/include/redwingwind/coordination/membership.hpp
+++ b/source/coordination/include/redwingwind/coordination/membership.hpp
@@ -58,7 +58,8 @@
 
     membership(membership_options options, member_record self, hooks h);
 
-    /// Contacts are probed until one answers.
+    /// A contact is probed until it answers, and again whenever this node
+    /// knows no live one.
     void add_contact(const address& contact);
 
     void receive(time_point now, const address& from, const datagram& message);
@@ -106,6 +107,12 @@
         time_point sent;
         bool is_relayed{};
     };
+    /// The node that answers may go by another address among its peers, so
+    /// its answer is known by the probe's sequence.
+    struct contact_probe {
+        std::uint64_t sequence{};
+        bool has_answered{};
+    };
     struct relayed_probe {
         address asker;
         std::uint64_t asker_sequence{};
@@ -149,7 +156,7 @@
     std::uint64_t next_sequence_{1};
     std::unordered_map<node_name, entry> entries_;
     std::vector<node_name> live_;
-    std::vector<address> contacts_;
+    std::map<address, contact_probe> contacts_;
     std::vector<node_name> order_;
     std::optional<pending_probe> pending_;
     std::map<std::uint64_t, relayed_probe> relayed_;
--- a/source/coordination/src/config_spread.cpp
+++ b/source/coordination/src/config_spread.cpp
@@ -77,10 +77,11 @@
     }
     if (!summary.wants_answer)
         return;
-    for (const auto& [graph, known] : in_force_) {
+    for (const auto& it : in_force_) {
+        const auto& known = it.second;
         const bool is_listed = std::any_of(
             summary.held.begin(), summary.held.end(),
-            [&](const config_news& it) { return it.graph == known.graph; });
+            [&](const config_news& news) { return news.graph == known.graph; });
         if (!is_listed)
             hooks_.send(from, known);
     }
--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -31,11 +31,8 @@
 }
 
 void membership::add_contact(const address& contact) {
-    if (contact == self_.where)
-        return;
-    if (std::find(contacts_.begin(), contacts_.end(), contact) ==
-        contacts_.end())
-        contacts_.push_back(contact);
+    if (contact != self_.where)
+        contacts_.try_emplace(contact);
 }
 
 const member_record* membership::find(const node_name& name) const {
@@ -314,7 +311,8 @@
     }
     if (pending_ && pending_->sequence == message.sequence)
         pending_.reset();
-    std::erase(contacts_, message.sender.where);
+    for (auto& [contact, probe] : contacts_)
+        probe.has_answered |= probe.sequence == message.sequence;
 }
 
 void membership::on_relay(time_point now, const address& from,
@@ -380,9 +378,12 @@
 
 void membership::start_probe(time_point now) {
     next_probe_ = now + options_.probe_interval;
-    for (const auto& contact : contacts_) {
+    for (auto& [contact, last] : contacts_) {
+        if (last.has_answered && !live_.empty())
+            continue;
         auto probe = make(probe_kind::probe);
         probe.sequence = next_sequence_++ << 1U;
+        last.sequence = probe.sequence;
         hooks_.send(contact, probe);
     }
     if (pending_) {
--- a/source/coordination/test/membership_test.cpp
+++ b/source/coordination/test/membership_test.cpp
@@ -168,7 +168,7 @@
             });
     }
 
-    void deliver(int from, int to, std::function<void()> action) {
+    void deliver(int from, int to, const std::function<void()>& action) {
         const auto delay = std::chrono::milliseconds(1 + random_() % 20);
         events_.push({now_ + delay, next_++, [this, from, to, action] {
                           const auto it = nodes_.find(to);
@@ -334,7 +334,7 @@
     const auto offers =
         *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 50));
     for (const auto offer : offers) {
-        const auto generation = static_cast<std::uint64_t>(1 + offer / 5);
+        const auto generation = 1 + static_cast<std::uint64_t>(offer) / 5;
         network.nodes_[offer % 5].configs->offer(
             {{"g"}, generation, "c", std::to_string(generation)});
         network.run(50ms);
--- a/source/coordination/test/ticket_test.cpp
+++ b/source/coordination/test/ticket_test.cpp
@@ -145,7 +145,7 @@
     std::map<std::uint64_t, int> dispatched;
     std::map<std::uint64_t, bool> cancelled;
     for (int n = 0; n < 200; ++n) {
-        const auto now = at(n * 400);
+        const auto now = at(std::int64_t{400} * n);
         const auto& t = all[random() % all.size()];
         switch (random() % 5) {
         case 0:
--- a/source/integration/test/operator_test.cpp
+++ b/source/integration/test/operator_test.cpp
@@ -76,6 +76,8 @@
 
     std::uint64_t generation_at(std::size_t n) {
         const auto json = places->status(n);
+        if (!json.is_object())
+            return 0;
         for (const auto& it : json.at("configs"))
             if (it["graph"] == "test")
                 return it["generation"].get<std::uint64_t>();
--- a/source/integration/test/processes.cpp
+++ b/source/integration/test/processes.cpp
@@ -120,7 +120,8 @@
 // Calls -----------------------------------------------------------------------
 
 std::shared_ptr<io::http_result>
-http_caller::start(const io::http_call& c, std::shared_ptr<bool> is_done) {
+http_caller::start(const io::http_call& c,
+                   const std::shared_ptr<bool>& is_done) {
     auto result = std::make_shared<io::http_result>();
     client_.start(c, [result, is_done](io::http_result answer) {
         *result = std::move(answer);
--- a/source/io/src/reactor.cpp
+++ b/source/io/src/reactor.cpp
@@ -31,12 +31,13 @@
     reactor_impl()
         : poll_(most_descriptors, true, &signals_), ace_(&poll_, false) {}
 
+    // ACE_Sig_Handler looks at its handlers when it ends.
+    std::unique_ptr<ACE_Event_Handler> stop_handler_;
     ACE_Sig_Handler signals_;
     ACE_Dev_Poll_Reactor poll_;
     ACE_Reactor ace_;
     std::unordered_map<reactor::timer_id, timer_handler*> timers_;
     reactor::timer_id next_timer_{1};
-    std::unique_ptr<ACE_Event_Handler> stop_handler_;
     bool is_stopped_{};
 };
 
--- a/source/node/src/metrics.cpp
+++ b/source/node/src/metrics.cpp
@@ -1,5 +1,6 @@
 #include "metrics.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -11,7 +12,7 @@
                  const nlohmann::json& value) {
     if (value.is_object()) {
         for (const auto& [field, below] : value.items())
-            add_numbers(registry, name + "_" + field, below);
+            add_numbers(registry, absl::StrCat(name, "_", field), below);
         return;
     }
     if (!value.is_number())
--- a/source/node/src/store_agent.cpp
+++ b/source/node/src/store_agent.cpp
@@ -74,6 +74,9 @@
         list_graphs();
     }
     const auto now = hooks_.now();
+    // Alone at the start, or since all the others were replaced.
+    if (core_.members().live_count() == 0 && now >= next_search_)
+        find_peers();
     if (now >= next_usage_) {
         next_usage_ = now + options_.usage_period;
         write_usage([] {});
@@ -85,19 +88,19 @@
 // -------------------------------------------------------------------------
 
 void store_agent::find_peers() {
+    if (is_finding_)
+        return;
+    is_finding_ = true;
     ++counters_.calls;
     store_.list(seed_prefix, [this](absl::StatusOr<listing> seeds) {
+        is_finding_ = false;
         if (seeds.ok()) {
-            peers_backoff_.reset();
             on_seeds(*seeds);
         } else {
             fail("list seeds", seeds.status());
         }
-        // A node that met others needs no seeds any more.
-        if (core_.members().live_count() > 0)
-            return;
-        hooks_.after(peers_backoff_.next(options_, hooks_.random),
-                     [this] { find_peers(); });
+        next_search_ =
+            hooks_.now() + peers_backoff_.next(options_, hooks_.random);
     });
 }
 
@@ -137,7 +140,7 @@
                                {"address", to_string(self.where)}};
     ++counters_.calls;
     store_.put(key, value.dump(), over_version,
-               [this](absl::StatusOr<std::uint64_t> version) {
+               [this](const absl::StatusOr<std::uint64_t>& version) {
                    is_seed_busy_ = false;
                    is_seed_written_ = version.ok();
                    if (version.ok())
@@ -259,19 +262,19 @@
     const auto next = usage::extend(current, collected_, hooks_.wall_us());
     ++counters_.calls;
     // Reports that come while the write is under way wait for the next one.
-    store_.put(
-        key, usage::to_text(next), version,
-        [this, done = std::move(done)](absl::StatusOr<std::uint64_t> written) {
-            is_usage_busy_ = false;
-            if (written.ok()) {
-                ++counters_.usage_writes;
-                collected_ = {};
-            } else {
-                // Kept, and merged again next time.
-                fail("write usage", written.status());
-            }
-            done();
-        });
+    store_.put(key, usage::to_text(next), version,
+               [this, done = std::move(done)](
+                   const absl::StatusOr<std::uint64_t>& written) {
+                   is_usage_busy_ = false;
+                   if (written.ok()) {
+                       ++counters_.usage_writes;
+                       collected_ = {};
+                   } else {
+                       // Kept, and merged again next time.
+                       fail("write usage", written.status());
+                   }
+                   done();
+               });
 }
 
 void store_agent::flush_usage(std::function<void()> done) {
--- a/source/node/src/store_agent.hpp
+++ b/source/node/src/store_agent.hpp
@@ -87,6 +87,8 @@
     hooks hooks_;
     backoff peers_backoff_;
     backoff watch_backoff_;
+    bool is_finding_{};
+    time_point next_search_{};
     bool is_watching_{};
     bool is_seed_written_{};
     bool is_seed_busy_{};
--- a/source/platform/include/redwingwind/platform/object_store.hpp
+++ b/source/platform/include/redwingwind/platform/object_store.hpp
@@ -58,6 +58,7 @@
 };
 
 /// The store over HTTP. The client must outlive what is returned.
-object_store connect_store(io::http_client& client, store_options options);
+object_store connect_store(io::http_client& client,
+                           const store_options& options);
 
 } // namespace redwingwind::platform
--- a/source/platform/src/object_store.cpp
+++ b/source/platform/src/object_store.cpp
@@ -75,7 +75,8 @@
 
 } // namespace
 
-object_store connect_store(io::http_client& client, store_options options) {
+object_store connect_store(io::http_client& client,
+                           const store_options& options) {
     object_store store;
     store.get = [&client, options](const std::string& key,
                                    object_store::object_callback done) {
