--- a/source/integration/test/processes.hpp
+++ b/source/integration/test/processes.hpp
@@ -54,8 +54,8 @@
 
     /// Starts a call; the result is filled in while wait() or another call
     /// runs.
-    std::shared_ptr<io::http_result> start(const io::http_call& c,
-                                           std::shared_ptr<bool> is_done);
+    std::shared_ptr<io::http_result>
+    start(const io::http_call& c, const std::shared_ptr<bool>& is_done);
 
     bool wait_until(const std::function<bool()>& condition, duration limit);
     void sleep(duration time);
