--- a/cmake/redwingwind.cmake
+++ b/cmake/redwingwind.cmake
@@ -40,6 +40,6 @@
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} rapidcheck
                           Boost::unit_test_framework)
     add_test(NAME ${name} COMMAND ${name} --log_level=test_suite)
-    set_tests_properties(${name} PROPERTIES ENVIRONMENT
-                         "RC_PARAMS=seed=20261204")
+    set_tests_properties(${name} PROPERTIES TIMEOUT 600
+                         ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
