io: the raw server of the tests takes whole requests, on several connections

Cause: the failing check counted reads, not requests, and one open connection kept the next from being accepted. Change: a thread per connection that reads whole requests. Conclusion: the fault was the test's; what it checks did not change.

--- a/source/io/test/http_test.cpp
+++ b/source/io/test/http_test.cpp
@@ -39,8 +39,11 @@
 
     ~raw_server() {
         shutdown(fd_, SHUT_RDWR);
-        shutdown(peer_, SHUT_RDWR);
         thread_.join();
+        for (const int peer : peers_)
+            shutdown(peer, SHUT_RDWR);
+        for (auto& it : connections_)
+            it.join();
         close(fd_);
     }
 
@@ -55,24 +58,46 @@
             const int peer = accept(fd_, nullptr, nullptr);
             if (peer < 0)
                 return;
-            peer_ = peer;
-            std::string buf(4096, '\0');
-            while (read(peer, buf.data(), buf.size()) > 0) {
-                const auto n = static_cast<std::size_t>(requests_++);
-                const auto answer = n < answers_.size() ? answers_[n] : "";
-                if (answer.empty())
-                    break;
-                (void)!write(peer, answer.data(), answer.size());
-            }
-            close(peer);
+            peers_.push_back(peer);
+            connections_.emplace_back([this, peer] { serve(peer); });
         }
     }
 
+    void serve(int peer) {
+        while (read_request(peer)) {
+            const auto n = static_cast<std::size_t>(requests_++);
+            const auto answer = n < answers_.size() ? answers_[n] : "";
+            if (answer.empty())
+                break;
+            (void)!write(peer, answer.data(), answer.size());
+        }
+        close(peer);
+    }
+
+    static bool read_request(int peer) {
+        std::string text;
+        char c = 0;
+        while (text.find("\r\n\r\n") == std::string::npos) {
+            if (read(peer, &c, 1) != 1)
+                return false;
+            text += c;
+        }
+        const auto place = text.find("Content-Length: ");
+        int left = place == std::string::npos
+                       ? 0
+                       : std::atoi(text.c_str() + place + 16);
+        while (left-- > 0)
+            if (read(peer, &c, 1) != 1)
+                return false;
+        return true;
+    }
+
     std::vector<std::string> answers_;
     int fd_;
     std::uint16_t port_{};
     std::atomic<int> requests_{};
-    std::atomic<int> peer_{-1};
+    std::vector<int> peers_;
+    std::vector<std::thread> connections_;
     std::thread thread_;
 };
 
