--- a/source/io/test/http_test.cpp
+++ b/source/io/test/http_test.cpp
@@ -30,7 +30,7 @@
         where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t n = sizeof(where);
         auto* generic = reinterpret_cast<sockaddr*>(&where);
-        bind(fd_, generic, n);
+        BOOST_REQUIRE(bind(fd_, generic, n) == 0);
         listen(fd_, 8);
         getsockname(fd_, generic, &n);
         port_ = ntohs(where.sin_port);
@@ -165,7 +165,7 @@
 BOOST_FIXTURE_TEST_SUITE(the_server, fixture)
 
 BOOST_AUTO_TEST_CASE(answers_now_or_later) {
-    http_server server(loop, {}, [&](http_server::exchange e) {
+    http_server server(loop, {}, [&](const http_server::exchange& e) {
         if (e.request.body == "now") {
             e.respond({200, {}, "at once"});
             return;
@@ -182,7 +182,7 @@
 BOOST_AUTO_TEST_CASE(refuses_a_body_over_the_limit) {
     http_server_options options;
     options.most_body_bytes = 1000;
-    http_server server(loop, options, [](http_server::exchange e) {
+    http_server server(loop, options, [](const http_server::exchange& e) {
         e.respond({200, {}, ""});
     });
     const auto url = "http://127.0.0.1:" + std::to_string(server.port());
