node: queue length and frame size are named settings

Cause: of the limits only these two had no setting of their own. Conclusion: every limit is named, ranged and refused with a type.

--- a/source/engine/include/redwingwind/engine/executor.hpp
+++ b/source/engine/include/redwingwind/engine/executor.hpp
@@ -22,6 +22,8 @@
     /// A target that is leaving gets no call after this time.
     duration drain_grace{std::chrono::milliseconds(500)};
     std::uint32_t most_executions{20000};
+    /// Calls that may wait for the target; the policy may allow fewer.
+    std::uint32_t most_queued{4096};
 };
 
 /// What the local target told of itself.
--- a/source/engine/src/executor.cpp
+++ b/source/engine/src/executor.cpp
@@ -111,6 +111,7 @@
     options.limit.adaptive = options_.mode == overload::control_mode::full;
     options.queue_per_slot = policy_.queue_per_slot;
     options.level_decay = policy_.level_decay;
+    options.most_queued = options_.most_queued;
     const auto weight = [this](const owner_name& owner) {
         return overload::weight_of(policy_, owner);
     };
--- a/source/node/src/node_settings.cpp
+++ b/source/node/src/node_settings.cpp
@@ -36,6 +36,9 @@
 ABSL_FLAG(std::int64_t, max_connections, 4096, "Callers' connections");
 ABSL_FLAG(std::int64_t, max_links, 4096, "Connections with nodes");
 ABSL_FLAG(std::int64_t, max_calls, 20000, "Calls in flight, each direction");
+ABSL_FLAG(std::int64_t, max_queued, 4096, "Calls waiting for the target");
+ABSL_FLAG(std::int64_t, max_frame_bytes, 2 << 20,
+          "Largest frame between nodes; more than max_body_bytes");
 ABSL_FLAG(std::int64_t, max_tickets, 20000, "Used tickets remembered");
 ABSL_FLAG(std::int64_t, ticket_life_ms, 60000, "Time a ticket may be used");
 ABSL_FLAG(std::int64_t, idle_timeout_ms, 30000, "Idle callers' connections");
@@ -67,6 +70,8 @@
         {"max_connections", 1, 8000},
         {"max_links", 1, 8000},
         {"max_calls", 1, 1000000},
+        {"max_queued", 1, 1000000},
+        {"max_frame_bytes", 65536, 64 << 20},
         {"max_tickets", 1, 1000000},
         {"ticket_life_ms", 1000, hour_ms},
         {"idle_timeout_ms", 1000, hour_ms},
@@ -163,6 +168,8 @@
         static_cast<std::uint32_t>(absl::GetFlag(FLAGS_max_calls));
     core.calls.most_calls = calls;
     core.executions.most_executions = calls;
+    core.executions.most_queued =
+        static_cast<std::uint32_t>(absl::GetFlag(FLAGS_max_queued));
     core.executions.drain_grace = milliseconds_flag(FLAGS_drain_grace_ms);
     core.tickets.most_entries =
         static_cast<std::size_t>(absl::GetFlag(FLAGS_max_tickets));
@@ -187,8 +194,8 @@
         static_cast<std::uint16_t>(absl::GetFlag(FLAGS_local_port));
     server.ip = absl::GetFlag(FLAGS_ip);
     server.port = static_cast<std::uint16_t>(absl::GetFlag(FLAGS_call_port));
-    // Room for the headers around the body.
-    settings.links.most_frame_bytes = body + server.most_header_bytes;
+    settings.links.most_frame_bytes =
+        static_cast<std::size_t>(absl::GetFlag(FLAGS_max_frame_bytes));
     settings.links.most_links =
         static_cast<std::uint32_t>(absl::GetFlag(FLAGS_max_links));
     settings.store.usage_period = core.usage_period;
@@ -226,6 +233,12 @@
     if (auto status = read_self(settings); !status.ok())
         return status;
     read_limits(settings);
+    // A whole body and the headers around it must fit into one frame.
+    if (settings.links.most_frame_bytes <
+        settings.call_server.most_body_bytes +
+            settings.call_server.most_header_bytes)
+        return bad("max_frame_bytes",
+                   "at least max_body_bytes and max_header_bytes together");
     settings.core.graph = {absl::GetFlag(FLAGS_graph)};
     settings.store_url = absl::GetFlag(FLAGS_store);
     settings.log_level = absl::GetFlag(FLAGS_log_level);
