node: the check that a frame must hold a whole body has its test

Measured: the settings' tests pass; the node exits with 2 for a frame of 65,536 bytes beside bodies of a megabyte.

--- a/source/integration/test/faults_test.cpp
+++ b/source/integration/test/faults_test.cpp
@@ -200,6 +200,8 @@
 BOOST_AUTO_TEST_CASE(are_checked_before_it_starts) {
     BOOST_TEST(exit_code_of({good_keys, "--check-settings"}) == 0);
     BOOST_TEST(exit_code_of({"--check-settings"}) == 2);
+    BOOST_TEST(exit_code_of({good_keys, "--check-settings",
+                             "--max-frame-bytes=65536"}) == 2);
     BOOST_TEST(exit_code_of(
                    {good_keys, "--check-settings", "--peer-port=70000"}) == 2);
     BOOST_TEST(
