--- a/source/engine/src/pipeline.cpp
+++ b/source/engine/src/pipeline.cpp
@@ -62,8 +62,11 @@
     if (rule != nullptr)
         request.is_idempotent = rule->idempotent;
     // A call made for another one keeps the importance of its root.
-    if (!state.in.context.empty())
+    if (!state.in.context.empty()) {
+        if (rule == nullptr)
+            request.is_idempotent = !overload::is_critical(request.kind);
         return std::nullopt;
+    }
     if (rule != nullptr)
         request.kind = rule->kind;
     if (!state.in.importance.empty()) {
