--- a/source/coordination/test/membership_test.cpp
+++ b/source/coordination/test/membership_test.cpp
@@ -22,7 +22,10 @@
 /// reorders them; nodes can be stopped, paused and cut off.
 class fake_network {
   public:
-    explicit fake_network(std::uint64_t seed) : random_(seed) {}
+    fake_network(std::uint64_t seed, int count) : random_(seed) {
+        for (int n = 0; n < count; ++n)
+            add(n);
+    }
 
     struct node {
         std::unique_ptr<membership> members;
@@ -193,9 +196,7 @@
 BOOST_AUTO_TEST_SUITE(nodes)
 
 BOOST_AUTO_TEST_CASE(that_start_together_find_each_other) {
-    fake_network network(1);
-    for (int n = 0; n < 20; ++n)
-        network.add(n);
+    fake_network network(1, 20);
     network.run(10s);
     BOOST_TEST(network.all_agree_alive());
 }
@@ -203,9 +204,7 @@
 BOOST_AUTO_TEST_SUITE(that_fail)
 
 BOOST_AUTO_TEST_CASE(are_found_dead_by_all) {
-    fake_network network(2);
-    for (int n = 0; n < 12; ++n)
-        network.add(n);
+    fake_network network(2, 12);
     network.run(8s);
     network.nodes_[5].is_up = false;
     network.run(20s);
@@ -215,9 +214,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(come_back_in_a_later_life) {
-    fake_network network(3);
-    for (int n = 0; n < 8; ++n)
-        network.add(n);
+    fake_network network(3, 8);
     network.run(8s);
     network.nodes_[5].is_up = false;
     network.run(15s);
@@ -227,9 +224,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(by_a_pause_are_alive_again_after_it) {
-    fake_network network(4);
-    for (int n = 0; n < 10; ++n)
-        network.add(n);
+    fake_network network(4, 10);
     network.run(8s);
     network.nodes_[3].is_paused = true;
     network.run(15s);
@@ -242,9 +237,7 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(that_leave_stay_away_whatever_old_news_comes) {
-    fake_network network(5);
-    for (int n = 0; n < 10; ++n)
-        network.add(n);
+    fake_network network(5, 10);
     network.run(8s);
     const auto old_news = network.nodes_[4].members->self();
     network.nodes_[4].members->leave(network.now_);
@@ -259,9 +252,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(that_lost_each_other_for_long_meet_again) {
-    fake_network network(6);
-    for (int n = 0; n < 10; ++n)
-        network.add(n);
+    fake_network network(6, 10);
     network.run(8s);
     for (auto& [n, it] : network.nodes_)
         it.side = n % 2;
@@ -276,9 +267,7 @@
 RC_BOOST_PROP(views_converge_after_loss_repetition_pauses_and_cuts, ()) {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const int count = *rc::gen::inRange(3, 9);
-    fake_network network(seed);
-    for (int n = 0; n < count; ++n)
-        network.add(n);
+    fake_network network(seed, count);
     network.loss = *rc::gen::element(0.0, 0.1, 0.3);
     network.repeat = *rc::gen::element(0.0, 0.2);
     network.run(6s);
@@ -300,9 +289,7 @@
 BOOST_AUTO_TEST_SUITE(configurations)
 
 BOOST_AUTO_TEST_CASE(reach_every_node_within_five_seconds) {
-    fake_network network(7);
-    for (int n = 0; n < 40; ++n)
-        network.add(n);
+    fake_network network(7, 40);
     network.run(10s);
     network.loss = 0.1;
     network.nodes_[3].configs->offer({{"g"}, 1, "c1", "one"});
@@ -312,9 +299,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(reach_a_node_that_was_cut_off) {
-    fake_network network(8);
-    for (int n = 0; n < 8; ++n)
-        network.add(n);
+    fake_network network(8, 8);
     network.run(8s);
     network.nodes_[5].side = 1;
     network.nodes_[3].configs->offer({{"g"}, 1, "c1", "one"});
@@ -326,9 +311,7 @@
 }
 
 RC_BOOST_PROP(generations_only_rise_whatever_is_replayed, ()) {
-    fake_network network(*rc::gen::arbitrary<std::uint64_t>());
-    for (int n = 0; n < 5; ++n)
-        network.add(n);
+    fake_network network(*rc::gen::arbitrary<std::uint64_t>(), 5);
     network.run(4s);
     std::map<int, std::uint64_t> highest;
     const auto offers =
--- a/source/overload/test/admission_test.cpp
+++ b/source/overload/test/admission_test.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE overload
+#include "test_time.hpp"
+
 #include <redwingwind/overload/admission.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -11,13 +13,10 @@
 using namespace redwingwind;
 using namespace redwingwind::overload;
 using namespace std::chrono_literals;
+using redwingwind::overload::test::at;
 
 namespace {
 
-time_point at(std::int64_t ms) {
-    return time_point(std::chrono::milliseconds(ms + 1000));
-}
-
 work make_work(std::uint64_t id, importance kind, time_point deadline,
                const std::string& owner = "a") {
     return {id, rank_of(kind, std::to_string(id)), {owner}, deadline};
--- a/source/overload/test/balancer_test.cpp
+++ b/source/overload/test/balancer_test.cpp
@@ -1,3 +1,5 @@
+#include "test_time.hpp"
+
 #include <redwingwind/overload/balancer.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -7,13 +9,10 @@
 using namespace redwingwind;
 using namespace redwingwind::overload;
 using namespace std::chrono_literals;
+using redwingwind::overload::test::at;
 
 namespace {
 
-time_point at(std::int64_t ms) {
-    return time_point(std::chrono::milliseconds(ms + 1000));
-}
-
 std::vector<candidate> candidates(int in_each, int domains) {
     std::vector<candidate> all;
     for (int d = 0; d < domains; ++d)
--- a/source/overload/test/level_test.cpp
+++ b/source/overload/test/level_test.cpp
@@ -1,3 +1,5 @@
+#include "test_time.hpp"
+
 #include <redwingwind/overload/concurrency_limit.hpp>
 #include <redwingwind/overload/level_control.hpp>
 #include <redwingwind/overload/level_table.hpp>
@@ -9,15 +11,12 @@
 using namespace redwingwind;
 using namespace redwingwind::overload;
 using namespace std::chrono_literals;
+using redwingwind::overload::test::at;
 
 namespace {
 
 const service_name deep{"deep"};
 
-time_point at(std::int64_t ms) {
-    return time_point(std::chrono::milliseconds(ms + 1000));
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(admission_level)
