--- a/cmake/redwingwind.cmake
+++ b/cmake/redwingwind.cmake
@@ -1,4 +1,7 @@
-set(RWW_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror)
+set(RWW_WARNINGS -Wall -Wextra -Wpedantic -Wshadow)
+if(RWW_STRICT)
+    list(APPEND RWW_WARNINGS -Werror)
+endif()
 set(RWW_SANITIZERS -fsanitize=address,undefined -fno-sanitize-recover=undefined)
 
 function(rww_flags name)
@@ -35,6 +38,9 @@
 
 function(rww_test name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    if(NOT RWW_TESTS)
+        return()
+    endif()
     add_executable(${name} ${ARG_SOURCES})
     rww_flags(${name})
     target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
--- a/source/common/include/redwingwind/common/error.hpp
+++ b/source/common/include/redwingwind/common/error.hpp
@@ -36,7 +36,9 @@
     ticket_table_full,
     too_many_calls,
     store_unavailable,
-    internal
+    internal,
+    no_policy,
+    history_gone
 };
 
 /// The stable name of a code, as shown in headers, logs and exit messages.
--- /dev/null
+++ b/source/common/include/redwingwind/common/http_message.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace redwingwind {
+
+struct http_header {
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const http_header&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(name, value);
+    }
+};
+
+struct http_request {
+    std::string method;
+    /// Path and query, byte for byte as they came.
+    std::string target;
+    std::vector<http_header> headers;
+    std::string body;
+
+    auto operator<=>(const http_request&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(method, target, headers, body);
+    }
+};
+
+struct http_response {
+    int status{200};
+    std::vector<http_header> headers;
+    std::string body;
+
+    auto operator<=>(const http_response&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(status, headers, body);
+    }
+};
+
+} // namespace redwingwind
--- a/source/common/include/redwingwind/common/log.hpp
+++ b/source/common/include/redwingwind/common/log.hpp
@@ -21,9 +21,12 @@
 
 enum class log_level : std::uint8_t { debug, info, warn, error };
 
-/// Sends one JSON object a line to standard error. The level is one of
-/// debug, info, warn and error; anything else counts as info.
-void start_logging(const std::string& level);
+enum class log_output : std::uint8_t { standard_error, standard_output };
+
+/// Sends one JSON object a line to the output. The level is one of debug,
+/// info, warn and error; anything else counts as info.
+void start_logging(const std::string& level,
+                   log_output output = log_output::standard_error);
 
 /// Writes one event. Fields are a JSON object, request_id among them where
 /// there is a request.
--- a/source/common/src/error.cpp
+++ b/source/common/src/error.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::string_view payload_key = "redwingwind/code";
 
-constexpr std::array<std::string_view, 26> names{"none",
+constexpr std::array<std::string_view, 28> names{"none",
                                                  "bad_input",
                                                  "too_large",
                                                  "unauthorized",
@@ -34,7 +34,9 @@
                                                  "ticket_table_full",
                                                  "too_many_calls",
                                                  "store_unavailable",
-                                                 "internal"};
+                                                 "internal",
+                                                 "no_policy",
+                                                 "history_gone"};
 
 absl::StatusCode category(error_code code) {
     switch (code) {
--- a/source/common/src/log.cpp
+++ b/source/common/src/log.cpp
@@ -41,13 +41,15 @@
 
 } // namespace
 
-void start_logging(const std::string& level) {
+void start_logging(const std::string& level, log_output output) {
     // The event itself is JSON already; the layout adds time, level, channel.
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
         R"({"time":"%d{yyyy-MM-ddTHH:mm:ss.SSS}","level":"%p","channel":"%c",%m})"
         "%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, output == log_output::standard_output
+                    ? log4cxx::ConsoleAppender::getSystemOut()
+                    : log4cxx::ConsoleAppender::getSystemErr());
     const auto root = log4cxx::Logger::getRootLogger();
     root->addAppender(appender);
     root->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
--- a/source/coordination/include/redwingwind/coordination/messages.hpp
+++ b/source/coordination/include/redwingwind/coordination/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <redwingwind/common/error.hpp>
+#include <redwingwind/common/http_message.hpp>
 #include <redwingwind/common/identifiers.hpp>
 #include <redwingwind/coordination/codec.hpp>
 #include <redwingwind/coordination/member.hpp>
@@ -235,8 +236,53 @@
     }
 };
 
+/// A call that a caller's node passes to the node beside a target.
+struct relay_call_frame {
+    std::uint64_t sequence{};
+    service_name service;
+    /// The service beside which the call began.
+    service_name caller;
+    http_request request;
+    request_id id;
+    /// 0 is served first.
+    std::uint8_t priority{};
+    bool is_idempotent{};
+    /// Made by a target while it runs a call.
+    bool is_nested{};
+    /// Another target may have been given the call before.
+    bool is_repeat{};
+    /// Until nobody waits for the answer any more.
+    std::uint32_t time_left_ms{};
+    /// Until the answer is worth less to the caller; 0 when that is past.
+    std::uint32_t latency_left_ms{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence, service, caller, request, id, priority, is_idempotent,
+           is_nested, is_repeat, time_left_ms, latency_left_ms);
+    }
+};
+
+struct relay_reply_frame {
+    std::uint64_t sequence{};
+    outcome what{outcome::unknown};
+    error_code why{};
+    http_response response;
+    overload::load_report load;
+    /// The target takes no new calls.
+    bool is_leaving{};
+    /// With not_run: when a slot is likely to be free.
+    std::uint32_t retry_after_ms{};
+
+    template <class Archive>
+    void serialize(Archive& ar) {
+        ar(sequence, what, why, response, load, is_leaving, retry_after_ms);
+    }
+};
+
 using frame = std::variant<hello_frame, call_frame, reply_frame, cancel_frame,
                            cancel_reply_frame, ticket_cancel_frame, view_frame,
-                           config_summary_frame, config_frame, usage_frame>;
+                           config_summary_frame, config_frame, usage_frame,
+                           relay_call_frame, relay_reply_frame>;
 
 } // namespace redwingwind::coordination
--- a/source/engine/include/redwingwind/engine/node_core.hpp
+++ b/source/engine/include/redwingwind/engine/node_core.hpp
@@ -163,6 +163,11 @@
                  const coordination::config_frame& frame);
     void receive(time_point now, const node_life& from,
                  const coordination::usage_frame& frame);
+    /// Spoken by nodes on the users' platform only.
+    void receive(time_point, const node_life&,
+                 const coordination::relay_call_frame&) {}
+    void receive(time_point, const node_life&,
+                 const coordination::relay_reply_frame&) {}
     void receive(time_point now, const node_life& from,
                  const coordination::hello_frame& frame);
     void answer(const node_life& to, std::uint64_t sequence,
--- a/source/experiment/src/load_driver.cpp
+++ b/source/experiment/src/load_driver.cpp
@@ -20,7 +20,7 @@
 
 /// True when the answer is whole and belongs to this request, or is a repeat
 /// of the answer to an earlier sending of it.
-bool is_own_answer(const io::http_response& response, const std::string& id) {
+bool is_own_answer(const http_response& response, const std::string& id) {
     const auto told = io::find_header(response.headers, "Rww-Digest");
     std::uint64_t n = 0;
     if (!absl::SimpleHexAtoi(told, &n) || n != digest(response.body))
--- a/source/io/include/redwingwind/io/http.hpp
+++ b/source/io/include/redwingwind/io/http.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <redwingwind/common/http_message.hpp>
 #include <redwingwind/common/time.hpp>
 #include <redwingwind/io/reactor.hpp>
 
@@ -12,31 +13,10 @@
 
 namespace redwingwind::io {
 
-struct http_header {
-    std::string name;
-    std::string value;
-
-    auto operator<=>(const http_header&) const = default;
-};
-
 /// The value of the header, names compared without case; empty when absent.
 std::string find_header(const std::vector<http_header>& headers,
                         std::string_view name);
 
-struct http_request {
-    std::string method;
-    /// Path and query.
-    std::string target;
-    std::vector<http_header> headers;
-    std::string body;
-};
-
-struct http_response {
-    int status{200};
-    std::vector<http_header> headers;
-    std::string body;
-};
-
 http_response json_response(int status, std::string body);
 
 /// The value of a query parameter; empty when absent.
--- a/source/io/include/redwingwind/io/reactor.hpp
+++ b/source/io/include/redwingwind/io/reactor.hpp
@@ -32,11 +32,15 @@
     descriptor_handler* handler_{};
 };
 
-/// One thread's event loop over an ACE reactor.
+/// One thread's event loop over an ACE reactor. ACE's epoll reactor takes one
+/// event for each wait and arms its descriptor again after it, so descriptors
+/// are kept in an epoll set of this class, which ACE watches as a whole: one
+/// wait then yields all that is ready.
 class reactor {
   public:
     using timer_id = std::uint64_t;
 
+    /// Throws std::runtime_error when the system refuses a descriptor.
     reactor();
     ~reactor();
     reactor(const reactor&) = delete;
@@ -48,9 +52,16 @@
     timer_id after(duration delay, std::function<void()> callback);
     void cancel(timer_id id);
 
+    /// Calls once before the loop waits again, so that work of many events
+    /// can be done together.
+    void defer(std::function<void()> callback);
+
     /// Calls on SIGTERM and SIGINT, from the loop.
     void on_stop_signal(std::function<void()> callback);
 
+    /// Calls on SIGHUP, from the loop.
+    void on_reload_signal(std::function<void()> callback);
+
     void run();
     /// Runs until the condition holds or the time is over; returns whether
     /// it holds.
--- /dev/null
+++ b/source/io/src/http1.cpp
@@ -0,0 +1,321 @@
+#include <redwingwind/io/http1.hpp>
+
+#include <redwingwind/io/http.hpp>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+namespace redwingwind::io {
+namespace {
+
+namespace beast = boost::beast;
+using beast::error_code;
+using boost::beast::string_view;
+
+std::string_view view_of(string_view text) {
+    return {text.data(), text.size()};
+}
+
+char lower(char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
+}
+
+} // namespace
+
+bool same_header(std::string_view a, std::string_view b) {
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return lower(x) == lower(y); });
+}
+
+/// The parser of either kind of message, for http1_reader.
+class http1_reader::message_parser {
+  public:
+    message_parser() = default;
+    virtual ~message_parser() = default;
+    message_parser(const message_parser&) = delete;
+    message_parser& operator=(const message_parser&) = delete;
+
+    virtual void restart(const http1_limits& limits, bool has_no_body) = 0;
+    virtual http1_state read(std::string& bytes) = 0;
+    virtual http1_state read_end() = 0;
+    virtual bool has_header() const = 0;
+    virtual bool is_keep_alive() const = 0;
+
+    http1_state state{http1_state::empty};
+    std::string method;
+    std::string target;
+    int status{};
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+template <bool IsRequest>
+class http1_reader::parser : public message_parser {
+  public:
+    void restart(const http1_limits& limits, bool has_no_body) override {
+        state = http1_state::empty;
+        headers.clear();
+        body.clear();
+        machine_ = std::make_unique<machine>(*this);
+        machine_->header_limit(
+            static_cast<std::uint32_t>(limits.most_header_bytes));
+        machine_->body_limit(limits.most_body_bytes);
+        machine_->eager(true);
+        if constexpr (!IsRequest)
+            machine_->skip(has_no_body);
+    }
+
+    http1_state read(std::string& bytes) override {
+        std::size_t taken = 0;
+        while (!is_over() && taken < bytes.size()) {
+            error_code ec;
+            const auto n = machine_->put(
+                boost::asio::buffer(bytes.data() + taken, bytes.size() - taken),
+                ec);
+            taken += n;
+            state = http1_state::partial;
+            if (ec && ec != beast::http::error::need_more) {
+                state = state_of(ec);
+                break;
+            }
+            if (machine_->is_done())
+                state = http1_state::complete;
+            else if (n == 0)
+                break;
+        }
+        bytes.erase(0, taken);
+        return state;
+    }
+
+    http1_state read_end() override {
+        if (is_over() || state == http1_state::empty)
+            return state;
+        error_code ec;
+        machine_->put_eof(ec);
+        state = !ec && machine_->is_done() ? http1_state::complete
+                                           : http1_state::malformed;
+        return state;
+    }
+
+    bool has_header() const override { return machine_->is_header_done(); }
+    bool is_keep_alive() const override { return machine_->keep_alive(); }
+
+  private:
+    bool is_over() const {
+        return state != http1_state::empty && state != http1_state::partial;
+    }
+
+    static http1_state state_of(const error_code& ec) {
+        if (ec == beast::http::error::header_limit)
+            return http1_state::header_too_large;
+        if (ec == beast::http::error::body_limit)
+            return http1_state::body_too_large;
+        return http1_state::malformed;
+    }
+
+    class machine : public beast::http::basic_parser<IsRequest> {
+      public:
+        explicit machine(message_parser& to) : to_(to) {}
+
+      private:
+        void on_request_impl(beast::http::verb, string_view method,
+                             string_view target, int, error_code&) override {
+            to_.method = view_of(method);
+            to_.target = view_of(target);
+        }
+        void on_response_impl(int code, string_view, int,
+                              error_code&) override {
+            to_.status = code;
+        }
+        void on_field_impl(beast::http::field, string_view name,
+                           string_view value, error_code&) override {
+            to_.headers.push_back(
+                {std::string(view_of(name)), std::string(view_of(value))});
+        }
+        void on_header_impl(error_code&) override {}
+        void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                               error_code&) override {}
+        std::size_t on_body_impl(string_view bytes, error_code&) override {
+            to_.body.append(bytes.data(), bytes.size());
+            return bytes.size();
+        }
+        void on_chunk_header_impl(std::uint64_t, string_view,
+                                  error_code&) override {}
+        std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes,
+                                       error_code&) override {
+            to_.body.append(bytes.data(), bytes.size());
+            return bytes.size();
+        }
+        void on_finish_impl(error_code&) override {}
+
+        message_parser& to_;
+    };
+
+    std::unique_ptr<machine> machine_;
+};
+
+http1_reader::http1_reader(http1_role role, const http1_limits& limits) {
+    if (role == http1_role::request)
+        parser_ = std::make_unique<parser<true>>();
+    else
+        parser_ = std::make_unique<parser<false>>();
+    start(limits);
+}
+
+http1_reader::~http1_reader() = default;
+http1_reader::http1_reader(http1_reader&&) noexcept = default;
+http1_reader& http1_reader::operator=(http1_reader&&) noexcept = default;
+
+void http1_reader::start(const http1_limits& limits, bool has_no_body) {
+    parser_->restart(limits, has_no_body);
+}
+
+http1_state http1_reader::read(std::string& bytes) {
+    return parser_->read(bytes);
+}
+
+http1_state http1_reader::read_end() {
+    return parser_->read_end();
+}
+
+http1_state http1_reader::state() const {
+    return parser_->state;
+}
+
+bool http1_reader::has_header() const {
+    return parser_->state != http1_state::empty && parser_->has_header();
+}
+
+bool http1_reader::is_keep_alive() const {
+    return parser_->is_keep_alive();
+}
+
+bool http1_reader::expects_continue() const {
+    return same_header(find_header(parser_->headers, "expect"), "100-continue");
+}
+
+std::size_t http1_reader::body_bytes() const {
+    return parser_->body.size();
+}
+
+http_request http1_reader::take_request() {
+    return {std::move(parser_->method), std::move(parser_->target),
+            std::exchange(parser_->headers, {}),
+            std::exchange(parser_->body, {})};
+}
+
+http_response http1_reader::take_response() {
+    return {parser_->status, std::exchange(parser_->headers, {}),
+            std::exchange(parser_->body, {})};
+}
+
+std::string_view reason_of(int status) {
+    return view_of(
+        beast::http::obsolete_reason(beast::http::int_to_status(status)));
+}
+
+bool is_hop_header(std::string_view name) {
+    static constexpr std::array<std::string_view, 8> names{
+        "connection", "keep-alive", "transfer-encoding", "te", "trailer",
+        "upgrade",    "expect",     "proxy-connection"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](auto it) { return same_header(it, name); });
+}
+
+bool is_listed(const std::vector<http_header>& headers, std::string_view name) {
+    for (const auto& header : headers) {
+        if (!same_header(header.name, "connection"))
+            continue;
+        std::string_view rest(header.value);
+        while (!rest.empty()) {
+            const auto comma = rest.find(',');
+            auto word = rest.substr(0, comma);
+            word.remove_prefix(
+                std::min(word.find_first_not_of(" \t"), word.size()));
+            word = word.substr(0, word.find_last_not_of(" \t") + 1);
+            if (same_header(word, name))
+                return true;
+            rest = comma == std::string_view::npos ? std::string_view()
+                                                   : rest.substr(comma + 1);
+        }
+    }
+    return false;
+}
+
+namespace {
+
+constexpr std::size_t usual_head_bytes = 512;
+
+void append_headers(std::string& buf, const std::vector<http_header>& headers,
+                    bool has_connection_list) {
+    for (const auto& header : headers) {
+        if (is_hop_header(header.name) ||
+            same_header(header.name, "content-length") ||
+            (has_connection_list && is_listed(headers, header.name)))
+            continue;
+        buf.append(header.name).append(": ");
+        buf.append(header.value).append("\r\n");
+    }
+}
+
+bool has_header_named(const std::vector<http_header>& headers,
+                      std::string_view name) {
+    return std::any_of(headers.begin(), headers.end(), [&](const auto& it) {
+        return same_header(it.name, name);
+    });
+}
+
+void append_length(std::string& buf, std::size_t n) {
+    buf.append("Content-Length: ").append(std::to_string(n)).append("\r\n");
+}
+
+} // namespace
+
+std::string write_request(const http_request& request) {
+    std::string buf;
+    buf.reserve(usual_head_bytes + request.body.size());
+    buf.append(request.method).append(" ");
+    buf.append(request.target).append(" HTTP/1.1\r\n");
+    append_headers(buf, request.headers,
+                   has_header_named(request.headers, "connection"));
+    const bool had_body =
+        has_header_named(request.headers, "content-length") ||
+        has_header_named(request.headers, "transfer-encoding");
+    if (had_body || !request.body.empty())
+        append_length(buf, request.body.size());
+    buf.append("\r\n").append(request.body);
+    return buf;
+}
+
+std::string write_response(const http_response& response,
+                           const response_framing& framing) {
+    std::string buf;
+    buf.reserve(usual_head_bytes + response.body.size());
+    buf.append("HTTP/1.1 ").append(std::to_string(response.status));
+    buf.append(" ").append(reason_of(response.status)).append("\r\n");
+    append_headers(buf, response.headers,
+                   has_header_named(response.headers, "connection"));
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    if (framing.has_no_body) {
+        const auto told = find_header(response.headers, "content-length");
+        if (!told.empty())
+            buf.append("Content-Length: ").append(told).append("\r\n");
+    } else if (response.status != no_content &&
+               response.status != not_modified) {
+        append_length(buf, response.body.size());
+    }
+    if (framing.closes)
+        buf.append("Connection: close\r\n");
+    buf.append("\r\n");
+    if (!framing.has_no_body)
+        buf.append(response.body);
+    return buf;
+}
+
+} // namespace redwingwind::io
--- a/source/io/src/reactor.cpp
+++ b/source/io/src/reactor.cpp
@@ -6,15 +6,24 @@
 #include <ace/Sig_Handler.h>
 #include <ace/Time_Value.h>
 
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
 #include <csignal>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace redwingwind::io {
 namespace {
 
-/// Descriptors one process may watch; ACE reserves memory for each.
-constexpr std::size_t most_descriptors = 8192;
+/// ACE itself watches the epoll set, its own pipe and little else; it
+/// reserves memory for each.
+constexpr std::size_t ace_descriptors = 1024;
+/// Ready descriptors taken by one wait.
+constexpr int batch_size = 256;
 
 ACE_Time_Value to_ace(duration d) {
     const auto n = std::max<duration::rep>(d.count(), 0);
@@ -25,74 +34,120 @@
 } // namespace
 
 class timer_handler;
+class descriptor_handler;
 
-class reactor_impl {
+class reactor_impl : public ACE_Event_Handler {
   public:
     reactor_impl()
-        : poll_(most_descriptors, true, &signals_), ace_(&poll_, false) {}
+        : poll_(ace_descriptors, true, &signals_), ace_(&poll_, false),
+          set_(::epoll_create1(EPOLL_CLOEXEC)) {
+        if (set_ < 0 || !poll_.initialized())
+            throw std::runtime_error("no descriptors for the event loop");
+        ace_.register_handler(this, READ_MASK);
+    }
+
+    ~reactor_impl() override {
+        ace_.remove_handler(this, READ_MASK | DONT_CALL);
+        ::close(set_);
+    }
+    reactor_impl(const reactor_impl&) = delete;
+    reactor_impl& operator=(const reactor_impl&) = delete;
+
+    ACE_HANDLE get_handle() const override { return set_; }
+    int handle_input(ACE_HANDLE) override;
+    void run_deferred();
+    void bury(descriptor_handler* handler);
 
     // ACE_Sig_Handler looks at its handlers when it ends.
     std::unique_ptr<ACE_Event_Handler> stop_handler_;
+    std::unique_ptr<ACE_Event_Handler> reload_handler_;
     ACE_Sig_Handler signals_;
     ACE_Dev_Poll_Reactor poll_;
     ACE_Reactor ace_;
+    int set_;
     std::unordered_map<reactor::timer_id, timer_handler*> timers_;
+    std::vector<std::function<void()>> deferred_;
+    /// Watches that ended; events of the same wait may still name them.
+    std::vector<std::unique_ptr<descriptor_handler>> ended_;
     reactor::timer_id next_timer_{1};
     bool is_stopped_{};
+    bool is_dispatching_{};
 };
 
-/// Counted by ACE, so that a watch may end inside its own callback.
-class descriptor_handler : public ACE_Event_Handler {
+class descriptor_handler {
   public:
     descriptor_handler(reactor_impl* owner, int fd,
                        descriptor_watch::callback on_ready)
-        : owner_(owner), fd_(fd), on_ready_(std::move(on_ready)) {
-        reference_counting_policy().value(
-            ACE_Event_Handler::Reference_Counting_Policy::ENABLED);
-    }
-
-    ACE_HANDLE get_handle() const override { return fd_; }
-    int handle_input(ACE_HANDLE) override { return ready(true, false); }
-    int handle_output(ACE_HANDLE) override { return ready(false, true); }
+        : owner_(owner), fd_(fd), on_ready_(std::move(on_ready)) {}
 
     void want(bool read, bool write) {
-        if (read == reads_ && write == writes_)
+        const std::uint32_t events = (read ? std::uint32_t{EPOLLIN} : 0) |
+                                     (write ? std::uint32_t{EPOLLOUT} : 0);
+        if (events == events_)
             return;
-        change(READ_MASK, reads_, read);
-        change(WRITE_MASK, writes_, write);
-        reads_ = read;
-        writes_ = write;
+        const int what = events_ == 0  ? EPOLL_CTL_ADD
+                         : events == 0 ? EPOLL_CTL_DEL
+                                       : EPOLL_CTL_MOD;
+        epoll_event change{};
+        change.events = events;
+        change.data.ptr = this;
+        ::epoll_ctl(owner_->set_, what, fd_, &change);
+        events_ = events;
     }
 
     void end() {
         want(false, false);
-        on_ready_ = nullptr;
-        remove_reference();
+        has_ended_ = true;
+        owner_->bury(this);
     }
 
-  private:
-    void change(ACE_Reactor_Mask mask, bool had, bool wanted) {
-        if (wanted && !had)
-            owner_->ace_.register_handler(this, mask);
-        else if (had && !wanted)
-            owner_->ace_.remove_handler(this, mask | DONT_CALL);
-    }
-
-    int ready(bool can_read, bool can_write) {
-        // The callback may end this watch.
-        const auto callback = on_ready_;
-        if (callback)
-            callback(can_read, can_write);
-        return 0;
+    void ready(std::uint32_t events) {
+        if (has_ended_)
+            return;
+        // The callback may end this watch, which then lives until the batch
+        // is over. An error shows in the next read or write.
+        const bool is_broken = (events & (EPOLLERR | EPOLLHUP)) != 0;
+        const bool can_read = (events & EPOLLIN) != 0;
+        const bool can_write = (events & EPOLLOUT) != 0;
+        on_ready_(can_read || (is_broken && (events_ & EPOLLIN) != 0),
+                  can_write || (is_broken && (events_ & EPOLLOUT) != 0));
     }
 
+  private:
     reactor_impl* owner_;
     int fd_;
     descriptor_watch::callback on_ready_;
-    bool reads_{};
-    bool writes_{};
+    std::uint32_t events_{};
+    bool has_ended_{};
 };
 
+int reactor_impl::handle_input(ACE_HANDLE) {
+    std::array<epoll_event, batch_size> ready;
+    const int n = ::epoll_wait(set_, ready.data(), batch_size, 0);
+    is_dispatching_ = true;
+    for (int it = 0; it < n; ++it) {
+        const auto& event = ready[static_cast<std::size_t>(it)];
+        static_cast<descriptor_handler*>(event.data.ptr)->ready(event.events);
+    }
+    is_dispatching_ = false;
+    ended_.clear();
+    return 0;
+}
+
+void reactor_impl::bury(descriptor_handler* handler) {
+    std::unique_ptr<descriptor_handler> ended(handler);
+    if (is_dispatching_)
+        ended_.push_back(std::move(ended));
+}
+
+void reactor_impl::run_deferred() {
+    while (!deferred_.empty()) {
+        const auto due = std::exchange(deferred_, {});
+        for (const auto& callback : due)
+            callback();
+    }
+}
+
 descriptor_watch::descriptor_watch(reactor_impl* owner, int fd,
                                    callback on_ready)
     : handler_(new descriptor_handler(owner, fd, std::move(on_ready))) {}
@@ -148,9 +203,9 @@
 
 namespace {
 
-class stop_handler : public ACE_Event_Handler {
+class signal_handler : public ACE_Event_Handler {
   public:
-    explicit stop_handler(std::function<void()> callback)
+    explicit signal_handler(std::function<void()> callback)
         : callback_(std::move(callback)) {}
 
     int handle_signal(int, siginfo_t*, ucontext_t*) override {
@@ -201,29 +256,45 @@
     handler->remove_reference();
 }
 
+void reactor::defer(std::function<void()> callback) {
+    impl_->deferred_.push_back(std::move(callback));
+}
+
 void reactor::on_stop_signal(std::function<void()> callback) {
-    auto handler = std::make_unique<stop_handler>(std::move(callback));
+    auto handler = std::make_unique<signal_handler>(std::move(callback));
     handler->reactor(&impl_->ace_);
     impl_->ace_.register_handler(SIGTERM, handler.get());
     impl_->ace_.register_handler(SIGINT, handler.get());
     impl_->stop_handler_ = std::move(handler);
 }
 
+void reactor::on_reload_signal(std::function<void()> callback) {
+    auto handler = std::make_unique<signal_handler>(std::move(callback));
+    handler->reactor(&impl_->ace_);
+    impl_->ace_.register_handler(SIGHUP, handler.get());
+    impl_->reload_handler_ = std::move(handler);
+}
+
 void reactor::run() {
     impl_->is_stopped_ = false;
-    while (!impl_->is_stopped_)
+    impl_->run_deferred();
+    while (!impl_->is_stopped_) {
         impl_->ace_.handle_events();
+        impl_->run_deferred();
+    }
 }
 
 bool reactor::run_until(const std::function<bool()>& condition,
                         duration limit) {
     const auto end = steady_now() + limit;
+    impl_->run_deferred();
     while (!condition()) {
         const auto left = end - steady_now();
         if (left <= duration::zero())
             return false;
         auto wait = to_ace(left);
         impl_->ace_.handle_events(&wait);
+        impl_->run_deferred();
     }
     return true;
 }
--- /dev/null
+++ b/source/io/src/stream_client.cpp
@@ -0,0 +1,376 @@
+#include <redwingwind/io/stream_client.hpp>
+
+#include <redwingwind/io/http.hpp>
+#include <redwingwind/io/http1.hpp>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace redwingwind::io {
+namespace {
+
+constexpr std::size_t read_bytes = 64U << 10U;
+constexpr duration sweep_interval = std::chrono::milliseconds(250);
+/// A server that tells when it closes idle connections is taken at four
+/// fifths of that, so that no request meets the close.
+constexpr double told_idle_share = 0.8;
+constexpr int first_final_status = 200;
+
+/// The time in a Keep-Alive header, zero when there is none.
+duration told_idle_time(const std::vector<http_header>& headers) {
+    const auto value = find_header(headers, "keep-alive");
+    const auto at = value.find("timeout=");
+    if (at == std::string::npos)
+        return duration::zero();
+    constexpr std::size_t name_length = 8;
+    const auto s = std::strtol(value.c_str() + at + name_length, nullptr, 10);
+    return std::chrono::seconds(s);
+}
+
+} // namespace
+
+class stream_client::impl {
+  public:
+    impl(reactor& loop, stream_client_options options)
+        : loop_(loop), options_(std::move(options)) {
+        sweep();
+    }
+
+    ~impl() {
+        loop_.cancel(sweep_timer_);
+        for (auto& [id, it] : connections_)
+            it->stream.close();
+    }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    call_id start(stream_call call, callback on_end) {
+        const auto id = next_call_++;
+        auto* it = take_idle(call.most_idle);
+        if (it == nullptr)
+            it = open();
+        if (it == nullptr) {
+            loop_.defer([on_end = std::move(on_end)] {
+                on_end({stream_failure::not_connected, false, {}});
+            });
+            return id;
+        }
+        it->call = id;
+        it->on_end = std::move(on_end);
+        it->echo_header = std::move(call.echo_header);
+        it->echo_value = std::move(call.echo_value);
+        it->out = write_request(call.request);
+        it->is_head = call.request.method == "HEAD";
+        it->reader.start(answer_limits(), it->is_head);
+        calls_.emplace(id, it->id);
+        flush(*it);
+        return id;
+    }
+
+    void cancel(call_id id) {
+        const auto found = calls_.find(id);
+        if (found == calls_.end())
+            return;
+        const auto owner = found->second;
+        calls_.erase(found);
+        close(owner);
+    }
+
+    void drop_idle() {
+        for (const auto id : std::exchange(idle_, {}))
+            close(id);
+    }
+
+    std::size_t open_connections() const { return connections_.size(); }
+    stream_client_counters counters;
+
+  private:
+    struct connection {
+        explicit connection(const http1_limits& limits)
+            : reader(http1_role::response, limits) {}
+
+        std::uint64_t id{};
+        ACE_SOCK_Stream stream;
+        descriptor_watch watch;
+        http1_reader reader;
+        std::string in;
+        std::string out;
+        /// 0 while idle.
+        call_id call{};
+        callback on_end;
+        std::string echo_header;
+        std::string echo_value;
+        bool is_connecting{};
+        bool is_head{};
+        bool was_used{};
+        duration idle_time{};
+        time_point since;
+    };
+
+    http1_limits answer_limits() const {
+        return {options_.most_answer_header_bytes,
+                options_.most_answer_body_bytes};
+    }
+
+    /// The connection used last, so that few stay open.
+    connection* take_idle(duration most_idle) {
+        const auto now = steady_now();
+        while (!idle_.empty()) {
+            auto& it = *connections_.at(idle_.back());
+            const auto quiet = now - it.since;
+            if (quiet >= most_idle)
+                return nullptr;
+            idle_.pop_back();
+            if (quiet < it.idle_time)
+                return &it;
+            close(it.id);
+        }
+        return nullptr;
+    }
+
+    connection* open() {
+        auto added = std::make_unique<connection>(answer_limits());
+        auto& it = *added;
+        const ACE_INET_Addr where(options_.port, options_.ip.c_str());
+        ACE_SOCK_Connector connector;
+        const ACE_Time_Value no_wait(0, 0);
+        const int result = connector.connect(it.stream, where, &no_wait);
+        if (result != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS &&
+            errno != ETIME)
+            return nullptr;
+        ++counters.opened;
+        it.id = next_connection_++;
+        it.is_connecting = true;
+        it.since = steady_now();
+        it.idle_time = options_.idle_timeout;
+        int on = 1;
+        it.stream.set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        it.stream.enable(ACE_NONBLOCK);
+        it.watch = loop_.watch(
+            it.stream.get_handle(),
+            [this, id = it.id](bool r, bool w) { on_ready(id, r, w); });
+        it.watch.want(true, true);
+        connections_.emplace(it.id, std::move(added));
+        return &it;
+    }
+
+    void on_ready(std::uint64_t id, bool can_read, bool can_write) {
+        const auto found = connections_.find(id);
+        if (found == connections_.end())
+            return;
+        auto& it = *found->second;
+        if (it.is_connecting) {
+            int error = 0;
+            int n = sizeof(error);
+            it.stream.get_option(SOL_SOCKET, SO_ERROR, &error, &n);
+            if (error != 0) {
+                fail(id, stream_failure::not_connected);
+                return;
+            }
+            if (!can_write)
+                return;
+            it.is_connecting = false;
+            it.since = steady_now();
+        }
+        if (can_write)
+            flush(it);
+        if (can_read)
+            read(id);
+    }
+
+    void flush(connection& it) {
+        if (it.is_connecting)
+            return;
+        std::size_t sent = 0;
+        while (sent < it.out.size()) {
+            const auto n =
+                it.stream.send(it.out.data() + sent, it.out.size() - sent);
+            // A broken connection shows in the next read, behind an answer
+            // that may have come before.
+            if (n <= 0)
+                break;
+            sent += static_cast<std::size_t>(n);
+        }
+        it.out.erase(0, sent);
+        it.watch.want(true, !it.out.empty());
+    }
+
+    void read(std::uint64_t id) {
+        auto& it = *connections_.at(id);
+        const auto n = it.stream.recv(scratch_.data(), read_bytes);
+        if (n < 0 && (errno == EWOULDBLOCK || errno == EAGAIN))
+            return;
+        if (n < 0) {
+            fail(id, stream_failure::cut_off);
+            return;
+        }
+        if (it.call == 0) {
+            // Bytes or an end that no request waits for.
+            if (n > 0)
+                ++counters.stray_answers;
+            fail(id, stream_failure::cut_off);
+            return;
+        }
+        if (n == 0) {
+            const bool is_whole = it.reader.read_end() == http1_state::complete;
+            if (is_whole && is_own_answer(it))
+                finish(it, false);
+            else
+                fail(id, stream_failure::cut_off);
+            return;
+        }
+        it.in.append(scratch_.data(), static_cast<std::size_t>(n));
+        take_answers(it);
+    }
+
+    void take_answers(connection& it) {
+        while (!it.in.empty()) {
+            const auto state = it.reader.read(it.in);
+            if (state == http1_state::empty || state == http1_state::partial)
+                return;
+            if (state != http1_state::complete) {
+                fail(it.id, stream_failure::malformed);
+                return;
+            }
+            const bool stays = it.reader.is_keep_alive();
+            if (is_own_answer(it)) {
+                finish(it, stays);
+                return;
+            }
+            if (!stays) {
+                fail(it.id, stream_failure::cut_off);
+                return;
+            }
+            it.reader.start(answer_limits(), it.is_head);
+        }
+    }
+
+    /// Takes the answer out of the reader. False for an interim answer and
+    /// for the answer to another request.
+    bool is_own_answer(connection& it) {
+        answer_ = it.reader.take_response();
+        if (answer_.status < first_final_status)
+            return false;
+        if (it.echo_header.empty())
+            return true;
+        const auto echo = find_header(answer_.headers, it.echo_header);
+        if (echo.empty() || echo == it.echo_value)
+            return true;
+        ++counters.stray_answers;
+        return false;
+    }
+
+    void finish(connection& it, bool stays) {
+        ++counters.answers;
+        stream_result result{stream_failure::none, it.was_used,
+                             std::move(answer_)};
+        calls_.erase(it.call);
+        it.call = 0;
+        const auto on_end = std::move(it.on_end);
+        const auto told = told_idle_time(result.response.headers);
+        // Bytes behind the answer, or a request that is not out yet, make
+        // the connection useless for another request.
+        if (stays && it.in.empty() && it.out.empty()) {
+            it.was_used = true;
+            it.since = steady_now();
+            it.idle_time = options_.idle_timeout;
+            if (told > duration::zero())
+                it.idle_time =
+                    std::min(it.idle_time, std::chrono::duration_cast<duration>(
+                                               told * told_idle_share));
+            idle_.push_back(it.id);
+        } else {
+            close(it.id);
+        }
+        on_end(std::move(result));
+    }
+
+    void fail(std::uint64_t id, stream_failure failure) {
+        auto& it = *connections_.at(id);
+        const auto on_end = std::move(it.on_end);
+        const bool was_used = it.was_used;
+        const bool had_call = it.call != 0;
+        calls_.erase(it.call);
+        if (!had_call)
+            std::erase(idle_, id);
+        close(id);
+        if (had_call)
+            on_end({failure, was_used, {}});
+    }
+
+    void close(std::uint64_t id) {
+        const auto found = connections_.find(id);
+        const auto it = std::move(found->second);
+        connections_.erase(found);
+        it->watch.reset();
+        it->stream.close();
+    }
+
+    void sweep() {
+        const auto now = steady_now();
+        std::vector<std::uint64_t> unconnected;
+        for (const auto& [id, it] : connections_)
+            if (it->is_connecting && now - it->since > options_.connect_timeout)
+                unconnected.push_back(id);
+        for (const auto id : unconnected)
+            fail(id, stream_failure::not_connected);
+        std::vector<std::uint64_t> old;
+        for (const auto id : idle_)
+            if (now - connections_.at(id)->since >=
+                connections_.at(id)->idle_time)
+                old.push_back(id);
+        for (const auto id : old) {
+            std::erase(idle_, id);
+            close(id);
+        }
+        sweep_timer_ = loop_.after(sweep_interval, [this] { sweep(); });
+    }
+
+    reactor& loop_;
+    stream_client_options options_;
+    reactor::timer_id sweep_timer_{};
+    std::uint64_t next_connection_{1};
+    call_id next_call_{1};
+    std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
+    std::unordered_map<call_id, std::uint64_t> calls_;
+    /// The one used last is at the back.
+    std::vector<std::uint64_t> idle_;
+    std::string scratch_ = std::string(read_bytes, '\0');
+    http_response answer_;
+};
+
+stream_client::stream_client(reactor& loop, stream_client_options options)
+    : impl_(std::make_unique<impl>(loop, std::move(options))) {}
+
+stream_client::~stream_client() = default;
+
+stream_client::call_id stream_client::start(stream_call call, callback on_end) {
+    return impl_->start(std::move(call), std::move(on_end));
+}
+
+void stream_client::cancel(call_id id) {
+    impl_->cancel(id);
+}
+
+void stream_client::drop_idle() {
+    impl_->drop_idle();
+}
+
+std::size_t stream_client::open_connections() const {
+    return impl_->open_connections();
+}
+
+const stream_client_counters& stream_client::counters() const {
+    return impl_->counters;
+}
+
+} // namespace redwingwind::io
--- a/source/node/src/node_daemon.cpp
+++ b/source/node/src/node_daemon.cpp
@@ -22,8 +22,6 @@
 using engine::target_end;
 using engine::target_result;
 using io::http_failure;
-using io::http_header;
-using io::http_response;
 using io::http_result;
 using io::http_server;
 
@@ -34,7 +32,7 @@
 constexpr std::size_t most_tickets_per_request = 1000;
 constexpr auto ticket_path = "/rww/tickets";
 
-engine::raw_call raw_call_of(io::http_request& request, bool is_local) {
+engine::raw_call raw_call_of(http_request& request, bool is_local) {
     const auto header = [&](std::string_view name) {
         return io::find_header(request.headers, name);
     };
--- a/source/node/src/peer_links.cpp
+++ b/source/node/src/peer_links.cpp
@@ -49,6 +49,27 @@
 
 } // namespace
 
+namespace {
+
+/// A peer that no longer answers on a connection, as behind a cut, is given
+/// up after about this long.
+constexpr int silence_ms = 1500;
+constexpr int probe_after_s = 1;
+constexpr int probes = 2;
+
+void end_when_silent(ACE_SOCK_Stream& stream, int on) {
+    int timeout = silence_ms;
+    int after = probe_after_s;
+    int count = probes;
+    stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    stream.set_option(SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    stream.set_option(IPPROTO_TCP, TCP_KEEPIDLE, &after, sizeof(after));
+    stream.set_option(IPPROTO_TCP, TCP_KEEPINTVL, &after, sizeof(after));
+    stream.set_option(IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+}
+
+} // namespace
+
 class peer_links::link {
   public:
     ACE_SOCK_Stream stream;
@@ -57,6 +78,7 @@
     bool is_opener{};
     bool is_connecting{};
     bool is_greeted{};
+    bool is_flush_due{};
     node_life peer;
     std::uint64_t own_nonce{};
     std::uint64_t peer_nonce{};
@@ -146,6 +168,7 @@
     void start_watch(link& it) {
         int on = 1;
         it.stream.set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        end_when_silent(it.stream, on);
         it.stream.enable(ACE_NONBLOCK);
         it.watch = loop_.watch(
             it.stream.get_handle(),
@@ -211,7 +234,7 @@
         it.last_used = steady_now();
         if (it.is_greeted) {
             append_frame(it, payload);
-            flush(it);
+            flush_soon(it);
             return;
         }
         it.waiting_bytes += payload.size();
@@ -247,6 +270,19 @@
         counters.bytes_sent += sealed.size() + length_bytes;
     }
 
+    /// What one round of events makes for a peer leaves in one write.
+    void flush_soon(link& it) {
+        if (std::exchange(it.is_flush_due, true))
+            return;
+        loop_.defer([this, id = it.id] {
+            const auto found = links_.find(id);
+            if (found == links_.end())
+                return;
+            found->second->is_flush_due = false;
+            flush(*found->second);
+        });
+    }
+
     void flush(link& it) {
         if (it.is_connecting)
             return;
@@ -411,6 +447,8 @@
             index.erase(named);
         if (it->is_opener)
             hooks_.on_down(it->peer, it->is_greeted);
+        else if (it->is_greeted && hooks_.on_caller_gone)
+            hooks_.on_caller_gone(it->peer);
     }
 
     void sweep() {
--- a/source/node/src/peer_links.hpp
+++ b/source/node/src/peer_links.hpp
@@ -41,6 +41,8 @@
         /// A connection that this node opened ended. was_connected is false
         /// when nothing that was sent on it can have arrived.
         std::function<void(const node_life&, bool was_connected)> on_down;
+        /// A connection that another node opened ended; may be empty.
+        std::function<void(const node_life&)> on_caller_gone;
         std::function<void(const std::string& why)> on_rejected;
         random_hook random;
     };
--- /dev/null
+++ b/source/node/src/platform_agent.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/coordination/member.hpp>
+#include <redwingwind/platform_adapter/object_client.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace redwingwind::node {
+
+struct platform_agent_options {
+    std::string store_address;
+    /// A watch waits this long. Short, so that one whose connection went
+    /// silent is replaced soon.
+    duration watch_time{std::chrono::seconds(4)};
+    duration least_pause{std::chrono::milliseconds(100)};
+    duration most_pause{std::chrono::seconds(2)};
+    /// Nodes that are listed in the store for others to meet.
+    std::size_t meeting_points{6};
+    /// A node without live peers looks into the store this often.
+    duration lonely_interval{std::chrono::seconds(1)};
+};
+
+struct platform_agent_counters {
+    std::uint64_t calls{};
+    std::uint64_t failures{};
+};
+
+/// A node's dealings with the platform's store: it watches the operator's
+/// configuration and finds its first peers. While the store is away it asks
+/// again after pauses that double and differ between nodes.
+class platform_agent {
+  public:
+    struct hooks {
+        std::function<void(duration, std::function<void()>)> after;
+        random_hook random;
+        /// The operator's configuration, as text.
+        std::function<void(const std::string&)> on_config;
+        /// A node listed in the store.
+        std::function<void(const coordination::address&)> on_contact;
+        std::function<std::size_t()> live_peers;
+        /// The store was lost or is back.
+        std::function<void(bool is_back, const absl::Status&)> on_store;
+    };
+
+    platform_agent(platform_agent_options options,
+                   platform_adapter::object_client store,
+                   coordination::address self, hooks h);
+
+    void start();
+    /// Takes this node off the list, for a planned stop.
+    void leave();
+    bool is_store_reached() const { return failures_ == 0; }
+    const platform_agent_counters& counters() const { return counters_; }
+
+  private:
+    void read_config();
+    void watch_config();
+    void find_peers();
+    void list_self(std::size_t listed);
+    duration pause();
+    void succeeded();
+    void failed(const absl::Status& status);
+    platform_adapter::object_key own_key() const;
+
+    platform_agent_options options_;
+    platform_adapter::object_client store_;
+    coordination::address self_;
+    hooks hooks_;
+    std::uint64_t revision_{};
+    std::uint32_t failures_{};
+    bool is_listed_{};
+    bool is_leaving_{};
+    platform_agent_counters counters_;
+};
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_daemon.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <redwingwind/coordination/config_spread.hpp>
+#include <redwingwind/coordination/membership.hpp>
+#include <redwingwind/io/http.hpp>
+#include <redwingwind/io/reactor.hpp>
+#include <redwingwind/io/stream_client.hpp>
+#include <redwingwind/io/stream_server.hpp>
+#include <redwingwind/relay/runner.hpp>
+#include <redwingwind/relay/sender.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "datagram_socket.hpp"
+#include "peer_links.hpp"
+#include "platform_agent.hpp"
+#include "relay_log.hpp"
+#include "relay_settings.hpp"
+
+namespace redwingwind::node {
+
+/// The thin shell of a node on the users' platform: listeners, connections,
+/// timers and logs round the sender, the runner and the membership.
+class relay_daemon {
+  public:
+    /// Throws std::runtime_error when an address can't be bound.
+    explicit relay_daemon(relay_settings settings);
+
+    /// Runs until a planned stop is complete.
+    void run();
+
+  private:
+    coordination::membership::hooks membership_hooks();
+    coordination::config_spread::hooks spread_hooks();
+    relay::sender::hooks sender_hooks();
+    relay::runner::hooks runner_hooks();
+    peer_links::hooks link_hooks();
+    platform_agent::hooks agent_hooks();
+
+    void open_servers();
+    void on_outbound(io::stream_server::arrival arrival);
+    void on_announce(const io::stream_server::arrival& arrival);
+    http_response announced(const http_request& request);
+    void dispatch(const relay::target_call& call);
+
+    void on_frame(const node_life& from, const coordination::frame& message);
+    void receive(const node_life& from,
+                 const coordination::relay_call_frame& call);
+    void receive(const node_life& from,
+                 const coordination::relay_reply_frame& reply);
+    void receive(const node_life& from,
+                 const coordination::cancel_frame& cancel);
+    void receive(const node_life& from, const coordination::view_frame& view);
+    void receive(const node_life& from,
+                 const coordination::config_summary_frame& summary);
+    void receive(const node_life& from,
+                 const coordination::config_frame& config);
+    /// The frames of the product's own interface are not spoken here.
+    template <class Other>
+    void receive(const node_life&, const Other&) {}
+
+    void send_view(const coordination::member_record& to, bool wants_answer);
+    void on_member(const coordination::member_record& record);
+    void on_target(coordination::target_state state, std::uint32_t slots);
+    void offer_config(const std::string& text);
+    void on_policy(const coordination::config_frame& config);
+    bool is_ready() const;
+
+    void wake();
+    void tick();
+    void begin_stop();
+    void check_stop();
+
+    relay_settings settings_;
+    io::reactor loop_;
+    random_hook random_;
+    relay_log log_;
+    std::unique_ptr<io::http_client> store_client_;
+    std::unique_ptr<coordination::membership> members_;
+    std::unique_ptr<coordination::config_spread> configs_;
+    std::unique_ptr<relay::sender> sender_;
+    std::unique_ptr<relay::runner> runner_;
+    std::unique_ptr<io::stream_client> target_;
+    std::unique_ptr<peer_links> links_;
+    std::unique_ptr<datagram_socket> datagrams_;
+    std::unique_ptr<platform_agent> agent_;
+    std::unique_ptr<io::stream_server> outbound_;
+    std::unique_ptr<io::stream_server> readiness_;
+    std::unique_ptr<io::stream_server> announce_;
+    std::unordered_map<std::uint64_t, io::stream_client::call_id> at_target_;
+    std::map<coordination::address, node_name> name_at_;
+    io::reactor::timer_id timer_{};
+    time_point timer_due_{};
+    time_point started_;
+    time_point stop_since_{};
+    bool is_stopping_{};
+};
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_log.cpp
@@ -0,0 +1,38 @@
+#include "relay_log.hpp"
+
+namespace redwingwind::node {
+
+bool relay_log::may_write(time_point now) {
+    if (now - second_ >= std::chrono::seconds(1)) {
+        if (left_out_ > 0)
+            log_event(log_channel::call, log_level::info, "lines_left_out",
+                      {{"count", left_out_}});
+        second_ = now;
+        written_ = 0;
+        left_out_ = 0;
+    }
+    if (written_ < most_lines) {
+        ++written_;
+        return true;
+    }
+    ++left_out_;
+    return false;
+}
+
+void relay_log::call(time_point now, const relay::call_event& event) {
+    if (!may_write(now))
+        return;
+    log_event(log_channel::call, log_level::info, std::string(event.what),
+              {{"request_id", event.id.value},
+               {"why", std::string(to_string(event.why))},
+               {"service", event.service.value},
+               {"peer", event.peer.value},
+               {"version", event.policy_version},
+               {"attempt", event.attempt},
+               {"time_left_ms", event.time_left_ms},
+               {"running", event.load.running},
+               {"queued", event.load.queued},
+               {"limit", event.load.limit}});
+}
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_log.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <redwingwind/common/log.hpp>
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/relay/call.hpp>
+
+#include <cstdint>
+
+namespace redwingwind::node {
+
+/// Writes the decisions that touch calls, at a bounded rate: under load the
+/// lines left out are counted in a line of their own.
+class relay_log {
+  public:
+    void call(time_point now, const relay::call_event& event);
+
+  private:
+    /// Lines in a second, before lines are left out.
+    static constexpr std::uint32_t most_lines = 40;
+
+    bool may_write(time_point now);
+
+    time_point second_{};
+    std::uint32_t written_{};
+    std::uint64_t left_out_{};
+};
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_settings.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <redwingwind/common/settings.hpp>
+#include <redwingwind/coordination/keyring.hpp>
+#include <redwingwind/coordination/member.hpp>
+#include <redwingwind/coordination/membership.hpp>
+#include <redwingwind/io/stream_server.hpp>
+#include <redwingwind/relay/runner.hpp>
+#include <redwingwind/relay/sender.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+#include "peer_links.hpp"
+#include "platform_agent.hpp"
+
+namespace redwingwind::node {
+
+/// Settings of a node that works on the users' platform, checked.
+struct relay_settings {
+    coordination::keyring keys;
+    coordination::member_record self;
+    coordination::membership_options membership;
+    /// For callers on this machine.
+    io::stream_listen outbound;
+    /// Tells whether this node may get callers.
+    io::stream_listen readiness;
+    /// For the heartbeats of the target.
+    io::stream_listen announce;
+    /// For metrics; port 0 for none.
+    io::stream_listen metrics;
+    coordination::address target;
+    link_options links;
+    platform_agent_options agent;
+    relay::sender_options sender;
+    relay::runner_options runner;
+    std::vector<coordination::address> contacts;
+    /// Bytes that callers' requests and answers may hold together.
+    std::size_t most_held_bytes{};
+    std::uint32_t most_callers{};
+    /// From the stop signal until the process is gone.
+    duration stop_time{};
+    std::string log_level;
+    bool is_check_only{};
+};
+
+/// True when the flags ask for the platform's data path.
+bool is_relay_configured();
+
+/// Reads the flags that read_settings() has taken in. Errors: bad_input,
+/// naming the setting and what is allowed.
+absl::StatusOr<relay_settings> read_relay_settings();
+
+/// The ranges of the flags, for read_settings().
+const std::vector<setting_range>& relay_ranges();
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/overload/include/redwingwind/overload/target_gate.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <redwingwind/common/error.hpp>
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/overload/balancer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace redwingwind::overload {
+
+/// A call that wants a slot of the target.
+struct gate_call {
+    std::uint64_t id{};
+    /// 0 is served first.
+    std::uint8_t priority{};
+    /// Made by a target while it runs a call: refusing it wastes that run.
+    bool is_nested{};
+    time_point deadline;
+    /// An answer after this is worth less to the caller.
+    time_point latest_useful;
+
+    auto operator<=>(const gate_call&) const = default;
+};
+
+struct gate_refusal {
+    std::uint64_t id{};
+    error_code why{};
+    /// When a slot is likely to be free for this call.
+    duration retry_after{};
+
+    auto operator<=>(const gate_refusal&) const = default;
+};
+
+/// What to do after an event: refuse these, which never started, and start
+/// these.
+struct gate_steps {
+    std::vector<gate_refusal> refuse;
+    std::vector<std::uint64_t> start;
+};
+
+struct gate_options {
+    /// Calls that the target runs at once.
+    std::uint32_t slots{1};
+    /// Share of the slots that is used: targets grow slow when they are full.
+    double usable_share{0.96};
+    /// Share of the time in which an answer is useful that a call may wait.
+    double wait_share{0.5};
+    /// A call waits this long at the most.
+    duration most_wait{std::chrono::seconds(2)};
+    std::size_t most_waiting{4096};
+
+    auto operator<=>(const gate_options&) const = default;
+};
+
+/// Decides beside a target which calls start, wait or are turned away. Every
+/// call of the target passes it, so the slots in use are known exactly.
+/// Answers the load pattern of a burst: a call is turned away at once when
+/// those ahead of it, by rank, will take the slots for longer than it can
+/// wait, and a waiting call when calls of higher rank have come before it.
+class target_gate {
+  public:
+    explicit target_gate(gate_options options) : options_(options) {}
+
+    void set_slots(std::uint32_t slots) { options_.slots = slots; }
+
+    gate_steps arrive(time_point now, const gate_call& call);
+    /// A started call ended, after this time at the target.
+    gate_steps finish(time_point now, std::uint64_t id, duration took);
+    /// Takes a waiting call away; false when it does not wait here.
+    bool withdraw(std::uint64_t id);
+    /// Turns away the waiting calls that can no longer be served in time.
+    gate_steps expire(time_point now);
+    /// The target takes no new calls: all waiting ones are turned away.
+    gate_steps close(error_code why);
+
+    /// When expire() has something to do; time_point::max() for never.
+    time_point next_expiry() const;
+    load_report load() const;
+    std::uint32_t limit() const;
+
+  private:
+    struct waiting_call {
+        gate_call call;
+        time_point latest_start;
+    };
+
+    static bool goes_before(const gate_call& a, const gate_call& b);
+    time_point latest_start(time_point now, const gate_call& call) const;
+    duration expected_wait(std::size_t place) const;
+    void fill(gate_steps& steps);
+    void refuse(std::size_t place, error_code why, gate_steps& steps);
+
+    gate_options options_;
+    /// Sorted, the first to start at the front.
+    std::vector<waiting_call> waiting_;
+    std::unordered_map<std::uint64_t, std::uint8_t> running_;
+    /// Smoothed time at the target, in seconds.
+    double usual_time_{0.05};
+};
+
+} // namespace redwingwind::overload
--- /dev/null
+++ b/source/overload/src/placement.cpp
@@ -0,0 +1,133 @@
+#include <redwingwind/overload/placement.hpp>
+
+#include <algorithm>
+
+namespace redwingwind::overload {
+namespace {
+
+constexpr std::uint32_t most_doublings = 3;
+
+} // namespace
+
+placement::state* placement::find(const node_name& node) {
+    const auto it = index_.find(node);
+    return it == index_.end() ? nullptr : &targets_[it->second];
+}
+
+void placement::update(const candidate& target) {
+    if (auto* known = find(target.node)) {
+        known->who = target;
+        return;
+    }
+    index_.emplace(target.node, targets_.size());
+    state added;
+    added.who = target;
+    added.load.limit = std::max<std::uint32_t>(target.slots, 1);
+    targets_.push_back(std::move(added));
+}
+
+void placement::remove(const node_name& node) {
+    const auto it = index_.find(node);
+    if (it == index_.end())
+        return;
+    const auto place = it->second;
+    index_.erase(it);
+    if (place + 1 < targets_.size()) {
+        targets_[place] = std::move(targets_.back());
+        index_[targets_[place].who.node] = place;
+    }
+    targets_.pop_back();
+}
+
+double placement::fullness_of(const state& it) const {
+    const auto told = it.load.running + it.load.queued + it.sent_since_load;
+    return static_cast<double>(std::max(told, it.outstanding)) /
+           std::max<std::uint32_t>(it.load.limit, 1);
+}
+
+double placement::cost_of(const state& it) const {
+    const double far =
+        it.who.domain == own_domain_ ? 0.0 : options_.domain_margin;
+    return fullness_of(it) + far + it.failure_rate * options_.failure_cost;
+}
+
+std::optional<node_name> placement::pick(time_point now,
+                                         const std::vector<node_name>& tried,
+                                         const random_hook& random) const {
+    const auto n = targets_.size();
+    if (n == 0)
+        return std::nullopt;
+    const state* best = nullptr;
+    const state* paused = nullptr;
+    std::size_t compared = 0;
+    // From a random place on, in a random direction, so that all targets are
+    // compared with all others in time.
+    const auto start = random();
+    const std::size_t step = (start & 1U) != 0 ? 1 : n - 1;
+    auto place = static_cast<std::size_t>((start >> 1U) % n);
+    for (std::size_t k = 0; k < n; ++k, place = (place + step) % n) {
+        const auto& it = targets_[place];
+        if (std::find(tried.begin(), tried.end(), it.who.node) != tried.end())
+            continue;
+        if (it.paused_until > now) {
+            if (paused == nullptr || it.paused_until < paused->paused_until)
+                paused = &it;
+            continue;
+        }
+        if (best == nullptr || cost_of(it) < cost_of(*best))
+            best = &it;
+        const bool is_near = it.who.domain == own_domain_;
+        compared += is_near || n <= options_.compared * 4 ? 1 : 0;
+        if (compared >= options_.compared * 4)
+            break;
+    }
+    if (best == nullptr)
+        best = paused;
+    if (best == nullptr)
+        return std::nullopt;
+    return best->who.node;
+}
+
+void placement::on_sent(const node_name& node) {
+    if (auto* it = find(node)) {
+        ++it->outstanding;
+        ++it->sent_since_load;
+    }
+}
+
+void placement::on_load(const node_name& node, const load_report& load) {
+    if (auto* it = find(node)) {
+        it->load = load;
+        it->sent_since_load = 0;
+    }
+}
+
+void placement::on_end(const node_name& node, time_point now, placed_end end) {
+    auto* it = find(node);
+    if (it == nullptr)
+        return;
+    if (it->outstanding > 0)
+        --it->outstanding;
+    if (end == placed_end::neutral)
+        return;
+    const double failed = end == placed_end::answered ? 0.0 : 1.0;
+    it->failure_rate += options_.failure_weight * (failed - it->failure_rate);
+    if (end != placed_end::unreachable) {
+        it->failures_in_row = 0;
+        return;
+    }
+    const auto doublings = std::min(it->failures_in_row, most_doublings);
+    it->paused_until = now + options_.pause * (1U << doublings);
+    ++it->failures_in_row;
+}
+
+double placement::fullness() const {
+    if (targets_.empty())
+        return 0;
+    double sum = 0;
+    for (const auto& it : targets_)
+        sum += fullness_of(it);
+    return sum / static_cast<double>(targets_.size());
+}
+
+} // namespace redwingwind::overload
--- /dev/null
+++ b/source/overload/src/target_gate.cpp
@@ -0,0 +1,145 @@
+#include <redwingwind/overload/target_gate.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace redwingwind::overload {
+namespace {
+
+/// Weight of the latest call in the smoothed time at the target.
+constexpr double time_weight = 0.02;
+/// A call that waits is expected to need at least this share of the usual
+/// time at the target.
+constexpr double least_service_share = 0.7;
+/// Callers that are turned away are not told to come back sooner.
+constexpr duration least_retry_after = std::chrono::milliseconds(50);
+
+duration to_duration(double s) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(s));
+}
+
+} // namespace
+
+std::uint32_t target_gate::limit() const {
+    const double usable = options_.slots * options_.usable_share;
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable));
+}
+
+bool target_gate::goes_before(const gate_call& a, const gate_call& b) {
+    return std::tuple(!a.is_nested, a.priority, a.latest_useful, a.id) <
+           std::tuple(!b.is_nested, b.priority, b.latest_useful, b.id);
+}
+
+time_point target_gate::latest_start(time_point now,
+                                     const gate_call& call) const {
+    const auto service = to_duration(usual_time_ * least_service_share);
+    const auto useful = std::min(call.latest_useful, call.deadline);
+    const auto wait =
+        std::min(to_duration(seconds(useful - now) * options_.wait_share),
+                 options_.most_wait);
+    return std::min(now + wait, useful - service);
+}
+
+duration target_gate::expected_wait(std::size_t place) const {
+    const double rate = limit() / std::max(usual_time_, 1e-4);
+    return to_duration(static_cast<double>(place + 1) / rate);
+}
+
+gate_steps target_gate::arrive(time_point now, const gate_call& call) {
+    gate_steps steps;
+    if (waiting_.empty() && running_.size() < limit()) {
+        running_.emplace(call.id, call.priority);
+        steps.start.push_back(call.id);
+        return steps;
+    }
+    const auto at =
+        std::upper_bound(waiting_.begin(), waiting_.end(), call,
+                         [](const gate_call& a, const waiting_call& b) {
+                             return goes_before(a, b.call);
+                         });
+    const auto place = static_cast<std::size_t>(at - waiting_.begin());
+    const auto latest = latest_start(now, call);
+    const auto wait = expected_wait(place);
+    if (now + wait > latest || waiting_.size() >= options_.most_waiting) {
+        steps.refuse.push_back({call.id, error_code::overloaded,
+                                std::max(wait, least_retry_after)});
+        return steps;
+    }
+    waiting_.insert(at, {call, latest});
+    // Those behind now wait longer.
+    while (waiting_.size() > place + 1 &&
+           now + expected_wait(waiting_.size() - 1) >
+               waiting_.back().latest_start)
+        refuse(waiting_.size() - 1, error_code::overloaded, steps);
+    fill(steps);
+    return steps;
+}
+
+void target_gate::refuse(std::size_t place, error_code why, gate_steps& steps) {
+    const auto at = waiting_.begin() + static_cast<std::ptrdiff_t>(place);
+    steps.refuse.push_back(
+        {at->call.id, why, std::max(expected_wait(place), least_retry_after)});
+    waiting_.erase(at);
+}
+
+void target_gate::fill(gate_steps& steps) {
+    std::size_t n = 0;
+    while (n < waiting_.size() && running_.size() < limit()) {
+        const auto& call = waiting_[n].call;
+        running_.emplace(call.id, call.priority);
+        steps.start.push_back(call.id);
+        ++n;
+    }
+    waiting_.erase(waiting_.begin(),
+                   waiting_.begin() + static_cast<std::ptrdiff_t>(n));
+}
+
+gate_steps target_gate::finish(time_point now, std::uint64_t id,
+                               duration took) {
+    if (running_.erase(id) > 0)
+        usual_time_ += time_weight * (seconds(took) - usual_time_);
+    auto steps = expire(now);
+    fill(steps);
+    return steps;
+}
+
+bool target_gate::withdraw(std::uint64_t id) {
+    const auto at =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [&](const auto& it) { return it.call.id == id; });
+    if (at == waiting_.end())
+        return false;
+    waiting_.erase(at);
+    return true;
+}
+
+gate_steps target_gate::expire(time_point now) {
+    gate_steps steps;
+    for (std::size_t n = waiting_.size(); n-- > 0;)
+        if (waiting_[n].latest_start < now)
+            refuse(n, error_code::overloaded, steps);
+    return steps;
+}
+
+gate_steps target_gate::close(error_code why) {
+    gate_steps steps;
+    while (!waiting_.empty())
+        refuse(waiting_.size() - 1, why, steps);
+    return steps;
+}
+
+time_point target_gate::next_expiry() const {
+    auto next = time_point::max();
+    for (const auto& it : waiting_)
+        next = std::min(next, it.latest_start);
+    return next;
+}
+
+load_report target_gate::load() const {
+    return {static_cast<std::uint32_t>(running_.size()),
+            static_cast<std::uint32_t>(waiting_.size()), limit()};
+}
+
+} // namespace redwingwind::overload
--- /dev/null
+++ b/source/relay/include/redwingwind/relay/call.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <redwingwind/common/error.hpp>
+#include <redwingwind/common/http_message.hpp>
+#include <redwingwind/common/identifiers.hpp>
+#include <redwingwind/common/time.hpp>
+#include <redwingwind/coordination/messages.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace redwingwind::relay {
+
+using exchange_id = std::uint64_t;
+
+/// A call as it came from a caller on this machine.
+struct incoming_call {
+    exchange_id exchange{};
+    std::string host;
+    request_id id;
+    /// How long the caller will wait; nothing when it did not say.
+    std::optional<duration> time_left;
+    /// The target beside this node makes it while it runs another call.
+    bool is_nested{};
+    http_request request;
+};
+
+/// What a caller is answered.
+struct call_answer {
+    coordination::outcome what{coordination::outcome::unknown};
+    error_code why{};
+    /// The target's answer, with done.
+    http_response response;
+    /// With not_run: when the caller may come back.
+    duration retry_after{};
+};
+
+/// A call on its way to the target beside this node.
+struct target_call {
+    std::uint64_t execution{};
+    http_request request;
+    request_id id;
+    service_name caller;
+    bool is_idempotent{};
+    /// Until nobody waits for the answer any more.
+    duration time_left{};
+};
+
+/// How the target dealt with a call.
+enum class target_end : std::uint8_t {
+    answered,
+    /// Its answer is a failure of its own; it ran.
+    answered_failure,
+    /// It says that it did not run the call, or was never reached.
+    not_run,
+    /// Another instance has the address, and did not run the call.
+    other_instance,
+    /// No whole answer came; it may have run.
+    unknown
+};
+
+struct target_answer {
+    target_end end{target_end::unknown};
+    http_response response;
+    /// Never reached: the connection was refused or did not come about.
+    bool is_unreachable{};
+};
+
+/// A decision that touches a call, for the log.
+struct call_event {
+    std::string_view what;
+    request_id id;
+    error_code why{};
+    service_name service;
+    node_name peer;
+    std::uint64_t policy_version{};
+    std::uint32_t attempt{};
+    std::int64_t time_left_ms{};
+    overload::load_report load;
+};
+
+} // namespace redwingwind::relay
--- /dev/null
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <redwingwind/coordination/messages.hpp>
+#include <redwingwind/overload/placement.hpp>
+#include <redwingwind/overload/repeat_budget.hpp>
+#include <redwingwind/relay/call.hpp>
+#include <redwingwind/relay/route_table.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace redwingwind::relay {
+
+struct sender_options {
+    /// The service beside which this node runs.
+    service_name service;
+    domain_name domain;
+    overload::placement_options placement;
+    overload::repeat_options repeats;
+    /// Nodes that one call may be turned away by before its caller is told.
+    std::uint32_t most_refusals{3};
+    /// Time past a call's end for an answer that is on its way.
+    duration answer_grace{std::chrono::milliseconds(40)};
+};
+
+/// The side of a node that faces callers: routes a call, places it, repeats
+/// it where that is allowed, and tells the caller one final answer.
+class sender {
+  public:
+    struct hooks {
+        /// Passes a call to a node; this one's own target is one of them.
+        std::function<void(const node_name&,
+                           const coordination::relay_call_frame&)>
+            send;
+        std::function<void(const node_name&, const coordination::cancel_frame&)>
+            cancel;
+        std::function<void(exchange_id, call_answer)> answer;
+        std::function<void(const call_event&)> on_event;
+        random_hook random;
+    };
+
+    sender(sender_options options, hooks h);
+
+    /// Versions only rise; an older one changes nothing.
+    void set_policy(std::shared_ptr<const traffic_policy> policy);
+    /// A target became ready, or changed its slots.
+    void add_target(const service_name& service,
+                    const overload::candidate& target);
+    void remove_target(const node_name& node);
+    void set_live_nodes(std::size_t n) { live_nodes_ = n; }
+
+    void on_call(time_point now, incoming_call call);
+    /// The caller left.
+    void on_gone(time_point now, exchange_id exchange);
+    void on_reply(time_point now, const node_name& from,
+                  coordination::relay_reply_frame reply);
+    /// The connection to a node ended, or the node counts as dead. When it
+    /// was never connected, nothing sent on it arrived.
+    void on_unreachable(time_point now, const node_name& node,
+                        bool was_connected);
+    void tick(time_point now);
+    time_point next_due() const;
+
+    std::uint64_t policy_version() const;
+    std::size_t open_calls() const { return open_.size(); }
+
+  private:
+    struct open_call {
+        incoming_call call;
+        service_name service;
+        bool is_idempotent{};
+        std::uint8_t priority{};
+        std::uint32_t most_attempts{1};
+        time_point end;
+        time_point latest_useful;
+        std::uint64_t sequence{};
+        node_name at;
+        std::vector<node_name> tried;
+        /// Targets that had the call, or may have had it.
+        std::uint32_t attempts{};
+        std::uint32_t refusals{};
+        bool may_have_run{};
+        duration retry_after{};
+        error_code refused_for{};
+        /// A failure that a target answered, while the call is repeated.
+        std::optional<http_response> failure;
+    };
+    struct due_call {
+        time_point at;
+        exchange_id exchange{};
+
+        auto operator<=>(const due_call&) const = default;
+    };
+
+    open_call* find(std::uint64_t sequence);
+    overload::placement& placement_of(const service_name& service);
+    overload::repeat_budget& repeats_of(const service_name& service);
+    void place(time_point now, open_call& it);
+    void leave_target(time_point now, open_call& it, overload::placed_end end);
+    void refused(time_point now, open_call& it, error_code why,
+                 duration retry_after);
+    void failed(time_point now, open_call& it, error_code why);
+    void give_up(time_point now, open_call& it);
+    void finish(time_point now, open_call& it, call_answer answer);
+    void turn_away(time_point now, const incoming_call& call, error_code why,
+                   duration retry_after);
+    void note(const open_call& it, time_point now, std::string_view what,
+              error_code why) const;
+
+    sender_options options_;
+    hooks hooks_;
+    std::optional<route_table> routes_;
+    std::unordered_map<std::string, part_chooser> choosers_;
+    std::unordered_map<service_name, overload::placement> placements_;
+    std::unordered_map<service_name, overload::repeat_budget> repeats_;
+    std::unordered_map<node_name, service_name> service_of_node_;
+    std::unordered_map<exchange_id, open_call> open_;
+    std::unordered_map<std::uint64_t, exchange_id> by_sequence_;
+    std::priority_queue<due_call, std::vector<due_call>, std::greater<>> due_;
+    std::uint64_t next_sequence_{1};
+    std::size_t live_nodes_{1};
+};
+
+} // namespace redwingwind::relay
--- /dev/null
+++ b/source/relay/include/redwingwind/relay/traffic_policy.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <redwingwind/common/identifiers.hpp>
+#include <redwingwind/common/time.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace redwingwind::relay {
+
+struct weighted_service {
+    service_name service;
+    /// Share of the calls, relative to the other parts; above 0.
+    double weight{1};
+
+    auto operator<=>(const weighted_service&) const = default;
+};
+
+/// Which calls go to which services, and how they are treated.
+struct route {
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string path_prefix;
+    bool is_idempotent{};
+    /// A caller is kept waiting no longer than this.
+    duration timeout{std::chrono::seconds(5)};
+    /// An answer within this is worth most to the caller.
+    duration target_latency{std::chrono::seconds(1)};
+    /// 0 is served first.
+    std::uint8_t priority{};
+    /// Targets to which one call may be given.
+    std::uint32_t most_attempts{1};
+    std::vector<weighted_service> parts;
+
+    auto operator<=>(const route&) const = default;
+};
+
+struct service_rule {
+    service_name name;
+    std::uint32_t most_connections{};
+
+    auto operator<=>(const service_rule&) const = default;
+};
+
+struct caller_limits {
+    std::size_t most_header_bytes{16U << 10U};
+    std::size_t most_body_bytes{std::size_t{1} << 20U};
+    duration request_timeout{std::chrono::seconds(10)};
+    duration idle_timeout{std::chrono::seconds(30)};
+
+    auto operator<=>(const caller_limits&) const = default;
+};
+
+/// One version of the operator's configuration.
+struct traffic_policy {
+    std::uint64_t version{};
+    std::vector<route> routes;
+    std::vector<service_rule> services;
+    caller_limits limits;
+
+    auto operator<=>(const traffic_policy&) const = default;
+};
+
+} // namespace redwingwind::relay
--- /dev/null
+++ b/source/relay/src/sender.cpp
@@ -0,0 +1,315 @@
+#include <redwingwind/relay/sender.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingwind::relay {
+
+using coordination::outcome;
+using coordination::relay_call_frame;
+using coordination::relay_reply_frame;
+using overload::placed_end;
+
+namespace {
+
+/// How soon a caller may come back when no configuration is known here yet.
+constexpr duration no_policy_retry_after = std::chrono::milliseconds(500);
+/// How soon a caller may come back when no target is known.
+constexpr duration no_target_retry_after = std::chrono::milliseconds(300);
+/// A call is not passed on with less time left than this.
+constexpr duration least_time_left = std::chrono::milliseconds(5);
+
+} // namespace
+
+sender::sender(sender_options options, hooks h)
+    : options_(std::move(options)), hooks_(std::move(h)) {}
+
+void sender::set_policy(std::shared_ptr<const traffic_policy> policy) {
+    if (routes_ && routes_->policy().version >= policy->version)
+        return;
+    routes_.emplace(std::move(policy));
+    std::erase_if(choosers_, [this](const auto& it) {
+        const auto& all = routes_->policy().routes;
+        return std::none_of(all.begin(), all.end(),
+                            [&](const route& r) { return r.name == it.first; });
+    });
+}
+
+std::uint64_t sender::policy_version() const {
+    return routes_ ? routes_->policy().version : 0;
+}
+
+overload::placement& sender::placement_of(const service_name& service) {
+    return placements_.try_emplace(service, options_.placement, options_.domain)
+        .first->second;
+}
+
+overload::repeat_budget& sender::repeats_of(const service_name& service) {
+    return repeats_.try_emplace(service, options_.repeats).first->second;
+}
+
+void sender::add_target(const service_name& service,
+                        const overload::candidate& target) {
+    const auto known = service_of_node_.find(target.node);
+    if (known != service_of_node_.end() && known->second != service)
+        remove_target(target.node);
+    service_of_node_[target.node] = service;
+    placement_of(service).update(target);
+}
+
+void sender::remove_target(const node_name& node) {
+    const auto known = service_of_node_.find(node);
+    if (known == service_of_node_.end())
+        return;
+    placement_of(known->second).remove(node);
+    service_of_node_.erase(known);
+}
+
+void sender::turn_away(time_point now, const incoming_call& call,
+                       error_code why, duration retry_after) {
+    open_call it;
+    it.call.id = call.id;
+    note(it, now, "turned_away", why);
+    hooks_.answer(call.exchange, {outcome::not_run, why, {}, retry_after});
+}
+
+void sender::on_call(time_point now, incoming_call call) {
+    if (!routes_) {
+        turn_away(now, call, error_code::no_policy, no_policy_retry_after);
+        return;
+    }
+    const auto place_of_route = routes_->find(call.host, call.request.target);
+    if (place_of_route == route_table::npos) {
+        turn_away(now, call, error_code::not_found, duration::zero());
+        return;
+    }
+    const auto& rule = routes_->at(place_of_route);
+    const auto exchange = call.exchange;
+    open_call it;
+    it.service = choosers_[rule.name].next(rule);
+    it.is_idempotent = rule.is_idempotent;
+    it.priority = rule.priority;
+    it.most_attempts = std::max<std::uint32_t>(rule.most_attempts, 1);
+    const auto time =
+        std::min(call.time_left.value_or(rule.timeout), rule.timeout);
+    it.end = now + time;
+    it.latest_useful = now + std::min(rule.target_latency, time);
+    it.call = std::move(call);
+    repeats_of(it.service).on_request(now);
+    due_.push({it.end + options_.answer_grace, exchange});
+    auto& added = open_[exchange] = std::move(it);
+    place(now, added);
+}
+
+sender::open_call* sender::find(std::uint64_t sequence) {
+    const auto named = by_sequence_.find(sequence);
+    if (named == by_sequence_.end())
+        return nullptr;
+    return &open_.at(named->second);
+}
+
+void sender::place(time_point now, open_call& it) {
+    if (it.end - now < least_time_left) {
+        give_up(now, it);
+        return;
+    }
+    const auto node =
+        placement_of(it.service).pick(now, it.tried, hooks_.random);
+    if (!node) {
+        give_up(now, it);
+        return;
+    }
+    it.sequence = next_sequence_++;
+    it.at = *node;
+    it.tried.push_back(*node);
+    by_sequence_[it.sequence] = it.call.exchange;
+    placement_of(it.service).on_sent(*node);
+    relay_call_frame call;
+    call.sequence = it.sequence;
+    call.service = it.service;
+    call.caller = options_.service;
+    call.request = it.call.request;
+    call.id = it.call.id;
+    call.priority = it.priority;
+    call.is_idempotent = it.is_idempotent;
+    call.is_nested = it.call.is_nested;
+    call.is_repeat = it.attempts > 0;
+    call.time_left_ms = static_cast<std::uint32_t>(milliseconds(it.end - now));
+    call.latency_left_ms = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, milliseconds(it.latest_useful - now)));
+    hooks_.send(*node, call);
+}
+
+void sender::leave_target(time_point now, open_call& it, placed_end end) {
+    by_sequence_.erase(it.sequence);
+    placement_of(it.service).on_end(it.at, now, end);
+    it.sequence = 0;
+}
+
+void sender::on_reply(time_point now, const node_name& from,
+                      relay_reply_frame reply) {
+    auto* it = find(reply.sequence);
+    if (it == nullptr || it->at != from)
+        return;
+    placement_of(it->service).on_load(from, reply.load);
+    if (reply.is_leaving)
+        remove_target(from);
+    switch (reply.what) {
+    case outcome::not_run:
+        leave_target(now, *it, placed_end::neutral);
+        if (reply.why == error_code::target_shed)
+            ++it->attempts;
+        refused(now, *it, reply.why,
+                std::chrono::milliseconds(reply.retry_after_ms));
+        return;
+    case outcome::unknown:
+        leave_target(now, *it, placed_end::failed);
+        failed(now, *it, reply.why);
+        return;
+    case outcome::done:
+        break;
+    }
+    const bool is_failure = reply.why == error_code::target_failed;
+    leave_target(now, *it,
+                 is_failure ? placed_end::failed : placed_end::answered);
+    if (is_failure && it->is_idempotent) {
+        it->failure = std::move(reply.response);
+        failed(now, *it, reply.why);
+        return;
+    }
+    finish(now, *it,
+           {outcome::done, error_code::none, std::move(reply.response), {}});
+}
+
+void sender::refused(time_point now, open_call& it, error_code why,
+                     duration retry_after) {
+    ++it.refusals;
+    it.refused_for = why;
+    it.retry_after = it.retry_after == duration::zero()
+                         ? retry_after
+                         : std::min(it.retry_after, retry_after);
+    const bool costs_a_repeat = why == error_code::target_shed;
+    if (it.refusals >= options_.most_refusals ||
+        it.attempts >= it.most_attempts ||
+        (costs_a_repeat && !repeats_of(it.service).take(now, live_nodes_))) {
+        give_up(now, it);
+        return;
+    }
+    place(now, it);
+}
+
+void sender::failed(time_point now, open_call& it, error_code why) {
+    ++it.attempts;
+    it.may_have_run = true;
+    it.refused_for = why;
+    if (!it.is_idempotent || it.attempts >= it.most_attempts ||
+        !repeats_of(it.service).take(now, live_nodes_)) {
+        give_up(now, it);
+        return;
+    }
+    note(it, now, "repeated", why);
+    place(now, it);
+}
+
+void sender::give_up(time_point now, open_call& it) {
+    if (it.failure) {
+        finish(now, it,
+               {outcome::done,
+                error_code::target_failed,
+                std::move(*it.failure),
+                {}});
+        return;
+    }
+    const auto why = it.refused_for == error_code::none ? error_code::no_target
+                                                        : it.refused_for;
+    if (it.may_have_run) {
+        finish(now, it, {outcome::unknown, why, {}, {}});
+        return;
+    }
+    const auto retry_after = it.retry_after == duration::zero()
+                                 ? no_target_retry_after
+                                 : it.retry_after;
+    finish(now, it, {outcome::not_run, why, {}, retry_after});
+}
+
+void sender::finish(time_point now, open_call& it, call_answer answer) {
+    if (answer.what != outcome::done)
+        note(it, now,
+             answer.what == outcome::not_run ? "turned_away" : "failed",
+             answer.why);
+    const auto exchange = it.call.exchange;
+    by_sequence_.erase(it.sequence);
+    open_.erase(exchange);
+    hooks_.answer(exchange, std::move(answer));
+}
+
+void sender::on_gone(time_point now, exchange_id exchange) {
+    const auto found = open_.find(exchange);
+    if (found == open_.end())
+        return;
+    auto& it = found->second;
+    if (it.sequence != 0) {
+        const auto sequence = it.sequence;
+        leave_target(now, it, placed_end::neutral);
+        hooks_.cancel(it.at, {sequence});
+    }
+    open_.erase(exchange);
+}
+
+void sender::on_unreachable(time_point now, const node_name& node,
+                            bool was_connected) {
+    std::vector<exchange_id> lost;
+    for (const auto& [exchange, it] : open_)
+        if (it.sequence != 0 && it.at == node)
+            lost.push_back(exchange);
+    for (const auto exchange : lost) {
+        const auto found = open_.find(exchange);
+        if (found == open_.end())
+            continue;
+        auto& it = found->second;
+        leave_target(now, it, placed_end::unreachable);
+        if (was_connected)
+            failed(now, it, error_code::cut_off);
+        else
+            refused(now, it, error_code::unreachable, no_target_retry_after);
+    }
+}
+
+void sender::tick(time_point now) {
+    while (!due_.empty() && due_.top().at <= now) {
+        const auto exchange = due_.top().exchange;
+        due_.pop();
+        const auto found = open_.find(exchange);
+        if (found == open_.end())
+            continue;
+        auto& it = found->second;
+        if (it.sequence != 0) {
+            const auto sequence = it.sequence;
+            leave_target(now, it, placed_end::neutral);
+            hooks_.cancel(it.at, {sequence});
+        }
+        it.may_have_run = true;
+        it.refused_for = error_code::timed_out;
+        give_up(now, it);
+    }
+}
+
+time_point sender::next_due() const {
+    return due_.empty() ? time_point::max() : due_.top().at;
+}
+
+void sender::note(const open_call& it, time_point now, std::string_view what,
+                  error_code why) const {
+    call_event event;
+    event.what = what;
+    event.id = it.call.id;
+    event.why = why;
+    event.service = it.service;
+    event.peer = it.at;
+    event.policy_version = policy_version();
+    event.attempt = it.attempts;
+    event.time_left_ms = milliseconds(it.end - now);
+    hooks_.on_event(event);
+}
+
+} // namespace redwingwind::relay
--- a/source/stand_in/src/main_support.hpp
+++ b/source/stand_in/src/main_support.hpp
@@ -22,7 +22,7 @@
 }
 
 /// A JSON body as an object; an empty one when it is none.
-inline nlohmann::json body_of(const io::http_request& request) {
+inline nlohmann::json body_of(const http_request& request) {
     auto json = nlohmann::json::parse(request.body, nullptr, false);
     return json.is_object() ? json : nlohmann::json::object();
 }
--- a/source/stand_in/src/platform_main.cpp
+++ b/source/stand_in/src/platform_main.cpp
@@ -191,8 +191,8 @@
         return false;
     }
 
-    io::http_response changes(const std::string& prefix,
-                              std::uint64_t since) const {
+    http_response changes(const std::string& prefix,
+                          std::uint64_t since) const {
         auto list = nlohmann::json::array();
         for (const auto& [key, it] : objects_)
             if (key.starts_with(prefix) && it.revision > since)
