--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -295,7 +295,11 @@
     }
 
     void fail(std::uint64_t id, stream_failure failure) {
-        auto& it = *connections_.at(id);
+        // The callback of another one's failure may have ended this call.
+        const auto found = connections_.find(id);
+        if (found == connections_.end())
+            return;
+        auto& it = *found->second;
         const auto on_end = std::move(it.on_end);
         const bool was_used = it.was_used;
         const bool had_call = it.call != 0;
--- a/source/relay/include/redwingwind/relay/runner.hpp
+++ b/source/relay/include/redwingwind/relay/runner.hpp
@@ -103,7 +103,9 @@
     void start(time_point now, std::uint64_t execution);
     void refuse(time_point now, std::uint64_t execution, error_code why,
                 duration retry_after);
-    void forget(std::uint64_t execution);
+    using call_map = std::unordered_map<std::uint64_t, open_call>;
+    /// Out of both indexes.
+    open_call take(call_map::iterator found);
     void reply(const open_call& it, coordination::relay_reply_frame answer);
     void note(const open_call& it, time_point now, std::string_view what,
               error_code why) const;
@@ -118,7 +120,7 @@
     time_point next_look_{};
     bool is_stopping_{};
     std::uint64_t next_execution_{1};
-    std::unordered_map<std::uint64_t, open_call> open_;
+    call_map open_;
     std::map<call_key, std::uint64_t> by_key_;
 };
 
--- a/source/relay/src/runner.cpp
+++ b/source/relay/src/runner.cpp
@@ -136,8 +136,7 @@
     const auto found = open_.find(execution);
     if (found == open_.end())
         return;
-    const auto it = std::move(found->second);
-    forget(execution);
+    const auto it = take(found);
     auto answer = make_reply(it);
     answer.what = outcome::not_run;
     answer.why = why;
@@ -147,14 +146,11 @@
     hooks_.reply(it.key.caller, answer);
 }
 
-void runner::forget(std::uint64_t execution) {
-    const auto found = open_.find(execution);
-    if (found == open_.end())
-        return;
+runner::open_call runner::take(call_map::iterator found) {
     const auto named = by_key_.find(found->second.key);
-    if (named != by_key_.end() && named->second == execution)
+    if (named != by_key_.end() && named->second == found->first)
         by_key_.erase(named);
-    open_.erase(found);
+    return std::move(open_.extract(found).mapped());
 }
 
 void runner::on_cancel(time_point now, const node_life& from,
@@ -163,11 +159,12 @@
     if (named == by_key_.end())
         return;
     const auto execution = named->second;
-    auto& it = open_.at(execution);
+    const auto found = open_.find(execution);
+    auto& it = found->second;
     it.is_abandoned = true;
     if (!it.is_running) {
         gate_.withdraw(execution);
-        forget(execution);
+        take(found);
         return;
     }
     // What must not run twice is left to finish: the caller can't know how
@@ -176,7 +173,7 @@
         return;
     hooks_.abort(execution);
     const auto took = now - it.started;
-    forget(execution);
+    take(found);
     run_steps(now, gate_.finish(now, execution, took));
 }
 
@@ -194,8 +191,7 @@
     const auto found = open_.find(execution);
     if (found == open_.end())
         return;
-    const auto it = std::move(found->second);
-    forget(execution);
+    const auto it = take(found);
     const auto steps = gate_.finish(now, execution, now - it.started);
     if (answer.is_unreachable || answer.end == target_end::other_instance) {
         // Until its next heartbeat tells who is there.
