overload, relay: calls enter by the strain below; short watches by two holders a domain

Ruled out: refusals by the callers' own nodes (log: all at katalog's gate). Change: strain_meter, root_admission; two holders a domain watch for 1 s and tell the rest by gossip, a watch that lags is replaced; a stopping node takes no calls in its last 1.3 s.

--- a/source/coordination/include/redwingwind/coordination/messages.hpp
+++ b/source/coordination/include/redwingwind/coordination/messages.hpp
@@ -8,6 +8,7 @@
 #include <redwingwind/overload/balancer.hpp>
 #include <redwingwind/overload/importance.hpp>
 #include <redwingwind/overload/level_table.hpp>
+#include <redwingwind/overload/strain.hpp>
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -273,10 +274,13 @@
     bool is_leaving{};
     /// With not_run: when a slot is likely to be free.
     std::uint32_t retry_after_ms{};
+    /// Strain of the target's service and of the services that it calls.
+    std::vector<overload::service_strain> strains;
 
     template <class Archive>
     void serialize(Archive& ar) {
-        ar(sequence, what, why, response, load, is_leaving, retry_after_ms);
+        ar(sequence, what, why, response, load, is_leaving, retry_after_ms,
+           strains);
     }
 };
 
--- a/source/node/src/platform_agent.cpp
+++ b/source/node/src/platform_agent.cpp
@@ -69,6 +69,7 @@
         }
         succeeded();
         revision_ = read->revision;
+        ++changes_seen_;
         hooks_.on_config(read->content);
         watch_config();
     });
@@ -76,20 +77,39 @@
 
 void platform_agent::watch_config() {
     ++counters_.calls;
-    store_.watch(config_key.kind, revision_, options_.watch_time,
-                 [this](absl::StatusOr<object_list> seen) {
-                     if (!seen.ok()) {
-                         failed(seen.status());
-                         hooks_.after(pause(), [this] { read_config(); });
-                         return;
-                     }
-                     succeeded();
-                     revision_ = std::max(revision_, seen->at);
-                     for (const auto& it : seen->objects)
-                         if (it.key == config_key && !it.is_deleted)
-                             hooks_.on_config(it.content);
-                     watch_config();
-                 });
+    const auto wait = hooks_.is_holder() ? options_.holder_watch_time
+                                         : options_.watch_time;
+    watch_ = store_.watch(config_key.kind, revision_, wait,
+                          [this](const absl::StatusOr<object_list>& seen) {
+                              watch_ = 0;
+                              on_watched(seen);
+                          });
+}
+
+void platform_agent::on_watched(const absl::StatusOr<object_list>& seen) {
+    if (!seen.ok()) {
+        failed(seen.status());
+        hooks_.after(pause(), [this] { read_config(); });
+        return;
+    }
+    succeeded();
+    revision_ = std::max(revision_, seen->at);
+    for (const auto& it : seen->objects) {
+        if (it.key != config_key || it.is_deleted)
+            continue;
+        ++changes_seen_;
+        hooks_.on_config(it.content);
+    }
+    watch_config();
+}
+
+void platform_agent::told_elsewhere() {
+    hooks_.after(options_.watch_lag, [this, before = changes_seen_] {
+        if (changes_seen_ != before || watch_ == 0)
+            return;
+        store_.cancel(std::exchange(watch_, 0));
+        read_config();
+    });
 }
 
 object_key platform_agent::own_key() const {
--- a/source/node/src/platform_agent.hpp
+++ b/source/node/src/platform_agent.hpp
@@ -12,9 +12,17 @@
 
 struct platform_agent_options {
     std::string store_address;
-    /// A watch waits this long. Short, so that one whose connection went
-    /// silent is replaced soon.
-    duration watch_time{std::chrono::seconds(4)};
+    /// Watches of the nodes that tell the others: short, so that one whose
+    /// connection went silent is replaced well before a change must be in
+    /// force.
+    duration holder_watch_time{std::chrono::seconds(1)};
+    /// Watches of the other nodes, for the time when no node tells them.
+    duration watch_time{std::chrono::seconds(6)};
+    /// Nodes of a failure domain that tell the others.
+    std::size_t holders{2};
+    /// A watch that did not tell of a change this long after another node
+    /// did is replaced.
+    duration watch_lag{std::chrono::milliseconds(500)};
     duration least_pause{std::chrono::milliseconds(100)};
     duration most_pause{std::chrono::seconds(2)};
     /// Nodes that are listed in the store for others to meet.
@@ -38,6 +46,8 @@
         random_hook random;
         /// The operator's configuration, as text.
         std::function<void(const std::string&)> on_config;
+        /// Whether this node is to tell the others.
+        std::function<bool()> is_holder;
         /// A node listed in the store.
         std::function<void(const coordination::address&)> on_contact;
         std::function<std::size_t()> live_peers;
@@ -50,6 +60,8 @@
                    coordination::address self, hooks h);
 
     void start();
+    /// Another node told of a change of the configuration.
+    void told_elsewhere();
     /// Takes this node off the list, for a planned stop.
     void leave();
     bool is_store_reached() const { return failures_ == 0; }
@@ -58,6 +70,7 @@
   private:
     void read_config();
     void watch_config();
+    void on_watched(const absl::StatusOr<platform_adapter::object_list>& seen);
     void find_peers();
     void list_self(std::size_t listed);
     duration pause();
@@ -70,6 +83,8 @@
     coordination::address self_;
     hooks hooks_;
     std::uint64_t revision_{};
+    std::uint64_t changes_seen_{};
+    io::http_client::call_id watch_{};
     std::uint32_t failures_{};
     bool is_listed_{};
     bool is_leaving_{};
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -1,6 +1,7 @@
 #include "relay_daemon.hpp"
 
 #include <redwingwind/common/hash.hpp>
+#include <redwingwind/coordination/rendezvous.hpp>
 #include <redwingwind/platform_adapter/calls.hpp>
 #include <redwingwind/platform_adapter/heartbeat.hpp>
 #include <redwingwind/platform_adapter/policy_document.hpp>
@@ -31,6 +32,9 @@
 /// From the stop signal on callers are still served this long: they are sent
 /// elsewhere only after they saw that this node is not ready.
 constexpr duration least_stop_time = std::chrono::milliseconds(2500);
+/// Callers that have no other node to go to are served until this long
+/// before the end, so that what they were promised can still be finished.
+constexpr duration last_calls_time = std::chrono::milliseconds(1300);
 /// Then each answer closes its connection for this long.
 constexpr duration least_closing_time = std::chrono::milliseconds(800);
 
@@ -219,6 +223,9 @@
         }
         links_->send_back(to, reply);
     };
+    h.strains_below = [this](time_point now) {
+        return sender_->strains_below(now);
+    };
     h.on_target = [this](target_state state, std::uint32_t slots) {
         on_target(state, slots);
     };
@@ -260,6 +267,13 @@
         offer_config(text);
         wake();
     };
+    h.is_holder = [this] {
+        const auto holders = coordination::choose_holders(
+            members_->live_in(settings_.self.domain), "configuration",
+            settings_.agent.holders);
+        return std::find(holders.begin(), holders.end(),
+                         settings_.self.id.name) != holders.end();
+    };
     h.on_contact = [this](const coordination::address& where) {
         members_->add_contact(where);
     };
@@ -335,8 +349,8 @@
 }
 
 void relay_daemon::receive(const node_life&, const config_frame& config) {
-    if (config.graph == operator_graph)
-        offer_config(config.body);
+    if (config.graph == operator_graph && offer_config(config.body))
+        agent_->told_elsewhere();
 }
 
 void relay_daemon::send_view(const member_record& to, bool wants_answer) {
@@ -418,19 +432,19 @@
     return {status_ok, {{"Content-Type", "application/json"}}, "{}"};
 }
 
-void relay_daemon::offer_config(const std::string& text) {
+bool relay_daemon::offer_config(const std::string& text) {
     const auto policy = platform_adapter::decode_policy(text);
     if (!policy.ok()) {
         log_event(log_channel::configuration, log_level::warn,
                   "configuration_unreadable",
                   {{"why", std::string(policy.status().message())}});
-        return;
+        return false;
     }
     config_frame config;
     config.graph = operator_graph;
     config.generation = policy->version;
     config.body = text;
-    configs_->offer(config);
+    return configs_->offer(config);
 }
 
 void relay_daemon::on_policy(const config_frame& config) {
@@ -499,6 +513,8 @@
     const auto passed = steady_now() - stop_since_;
     if (passed > least_stop_time)
         outbound_->close_gradually();
+    if (passed > settings_.stop_time - last_calls_time)
+        sender_->stop();
     const bool is_idle = sender_->open_calls() == 0 &&
                          runner_->open_calls() == 0 &&
                          outbound_->open_exchanges() == 0;
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -65,7 +65,8 @@
     void send_view(const coordination::member_record& to, bool wants_answer);
     void on_member(const coordination::member_record& record);
     void on_target(coordination::target_state state, std::uint32_t slots);
-    void offer_config(const std::string& text);
+    /// True when it is newer than the one in force.
+    bool offer_config(const std::string& text);
     void on_policy(const coordination::config_frame& config);
     bool is_ready() const;
 
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -29,6 +29,7 @@
                {"peer", event.peer.value},
                {"version", event.policy_version},
                {"attempt", event.attempt},
+               {"nested", event.is_nested},
                {"time_left_ms", event.time_left_ms},
                {"running", event.load.running},
                {"queued", event.load.queued},
--- a/source/relay/include/redwingwind/relay/call.hpp
+++ b/source/relay/include/redwingwind/relay/call.hpp
@@ -76,6 +76,7 @@
     node_name peer;
     std::uint64_t policy_version{};
     std::uint32_t attempt{};
+    bool is_nested{};
     std::int64_t time_left_ms{};
     overload::load_report load;
 };
--- a/source/relay/include/redwingwind/relay/runner.hpp
+++ b/source/relay/include/redwingwind/relay/runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <redwingwind/coordination/messages.hpp>
+#include <redwingwind/overload/strain.hpp>
 #include <redwingwind/overload/target_gate.hpp>
 #include <redwingwind/relay/call.hpp>
 
@@ -53,6 +54,9 @@
         /// The target became ready, draining or absent.
         std::function<void(coordination::target_state, std::uint32_t slots)>
             on_target;
+        /// Strain of the services that the target calls, for the replies.
+        std::function<std::vector<overload::service_strain>(time_point)>
+            strains_below;
         std::function<void(const call_event&)> on_event;
     };
 
@@ -92,6 +96,7 @@
         call_key key;
         coordination::relay_call_frame call;
         time_point deadline;
+        time_point arrived;
         time_point started;
         bool is_running{};
         /// Nobody waits for the answer any more.
@@ -109,11 +114,13 @@
     void reply(const open_call& it, coordination::relay_reply_frame answer);
     void note(const open_call& it, time_point now, std::string_view what,
               error_code why) const;
-    coordination::relay_reply_frame make_reply(const open_call& it) const;
+    coordination::relay_reply_frame make_reply(const open_call& it,
+                                               time_point now) const;
 
     runner_options options_;
     hooks hooks_;
     overload::target_gate gate_;
+    overload::strain_meter strain_;
     target_announcement target_;
     coordination::target_state state_{coordination::target_state::absent};
     time_point last_announced_{};
--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -3,6 +3,7 @@
 #include <redwingwind/coordination/messages.hpp>
 #include <redwingwind/overload/placement.hpp>
 #include <redwingwind/overload/repeat_budget.hpp>
+#include <redwingwind/overload/strain.hpp>
 #include <redwingwind/relay/call.hpp>
 #include <redwingwind/relay/route_table.hpp>
 
@@ -24,6 +25,7 @@
     domain_name domain;
     overload::placement_options placement;
     overload::repeat_options repeats;
+    overload::root_admission_options roots;
     /// Nodes that one call may be turned away by before its caller is told.
     std::uint32_t most_refusals{3};
     /// Time past a call's end for an answer that is on its way.
@@ -54,6 +56,10 @@
     void add_target(const service_name& service,
                     const overload::candidate& target);
     void remove_target(const node_name& node);
+    /// This node stops: calls are turned away from now on.
+    void stop() { is_stopping_ = true; }
+    /// Strain of the services that the target beside this node calls.
+    std::vector<overload::service_strain> strains_below(time_point now) const;
     void set_live_nodes(std::size_t n) { live_nodes_ = n; }
 
     void on_call(time_point now, incoming_call call);
@@ -104,9 +110,13 @@
     overload::repeat_budget& repeats_of(const service_name& service);
     void place(time_point now, open_call& it);
     void leave_target(time_point now, open_call& it, overload::placed_end end);
+    void note_strains(time_point now, const open_call& it,
+                      const coordination::relay_reply_frame& reply);
     void refused(time_point now, open_call& it, error_code why,
                  duration retry_after);
     void failed(time_point now, open_call& it, error_code why);
+    double draw() const;
+    duration root_retry_after() const;
     void give_up(time_point now, open_call& it);
     void finish(time_point now, open_call& it, call_answer answer);
     void turn_away(time_point now, const incoming_call& call, error_code why,
@@ -124,6 +134,13 @@
     std::unordered_map<exchange_id, open_call> open_;
     std::unordered_map<std::uint64_t, exchange_id> by_sequence_;
     std::priority_queue<due_call, std::vector<due_call>, std::greater<>> due_;
+    overload::root_admission roots_;
+    struct told_strain {
+        double strain{};
+        time_point at;
+    };
+    std::unordered_map<service_name, told_strain> nested_strains_;
+    bool is_stopping_{};
     std::uint64_t next_sequence_{1};
     std::size_t live_nodes_{1};
 };
--- a/source/relay/src/runner.cpp
+++ b/source/relay/src/runner.cpp
@@ -15,6 +15,8 @@
 /// How soon a caller may come back when the target is not there: the time
 /// that another node needs to learn of it.
 constexpr duration absent_retry_after = std::chrono::milliseconds(300);
+/// Less strain is not told.
+constexpr double least_strain = 0.01;
 /// How often running calls are looked through for those past their deadline.
 constexpr duration late_look_interval = std::chrono::milliseconds(50);
 
@@ -62,11 +64,16 @@
     set_state(target_state::draining);
 }
 
-relay_reply_frame runner::make_reply(const open_call& it) const {
+relay_reply_frame runner::make_reply(const open_call& it,
+                                     time_point now) const {
     relay_reply_frame answer;
     answer.sequence = it.key.sequence;
     answer.load = gate_.load();
     answer.is_leaving = state_ != target_state::ready;
+    answer.strains = hooks_.strains_below(now);
+    const double own = strain_.value(now);
+    if (own > least_strain)
+        answer.strains.push_back({options_.service, own});
     return answer;
 }
 
@@ -78,6 +85,7 @@
     event.why = why;
     event.service = options_.service;
     event.peer = it.key.caller.name;
+    event.is_nested = it.call.is_nested;
     event.time_left_ms = milliseconds(it.deadline - now);
     event.load = gate_.load();
     hooks_.on_event(event);
@@ -88,6 +96,7 @@
     const auto execution = next_execution_++;
     open_call it;
     it.key = {from, call.sequence};
+    it.arrived = now;
     it.deadline = now + std::chrono::milliseconds(call.time_left_ms);
     it.call = std::move(call);
     const auto useful =
@@ -121,6 +130,8 @@
     auto& it = open_.at(execution);
     it.is_running = true;
     it.started = now;
+    if (it.call.is_nested)
+        strain_.on_started(now, now - it.arrived);
     target_call call;
     call.execution = execution;
     call.request = std::move(it.call.request);
@@ -137,7 +148,9 @@
     if (found == open_.end())
         return;
     const auto it = take(found);
-    auto answer = make_reply(it);
+    if (it.call.is_nested)
+        strain_.on_refused(now);
+    auto answer = make_reply(it, now);
     answer.what = outcome::not_run;
     answer.why = why;
     answer.retry_after_ms =
@@ -199,7 +212,7 @@
         if (state_ == target_state::ready)
             set_state(target_state::absent);
     }
-    auto back = make_reply(it);
+    auto back = make_reply(it, now);
     switch (answer.end) {
     case target_end::answered:
     case target_end::answered_failure:
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -16,13 +16,20 @@
 constexpr duration no_policy_retry_after = std::chrono::milliseconds(500);
 /// How soon a caller may come back when no target is known.
 constexpr duration no_target_retry_after = std::chrono::milliseconds(300);
+/// Callers that were turned away at the entry come back spread over this
+/// time, within what most of them still find useful.
+constexpr duration least_root_retry_after = std::chrono::milliseconds(200);
+constexpr duration most_root_retry_after = std::chrono::milliseconds(600);
+/// What answers told of strain counts for this long.
+constexpr duration strain_memory = std::chrono::milliseconds(300);
 /// A call is not passed on with less time left than this.
 constexpr duration least_time_left = std::chrono::milliseconds(5);
 
 } // namespace
 
 sender::sender(sender_options options, hooks h)
-    : options_(std::move(options)), hooks_(std::move(h)) {}
+    : options_(std::move(options)), hooks_(std::move(h)),
+      roots_(options_.roots) {}
 
 void sender::set_policy(std::shared_ptr<const traffic_policy> policy) {
     if (routes_ && routes_->policy().version >= policy->version)
@@ -84,9 +91,18 @@
         return;
     }
     const auto& rule = routes_->at(place_of_route);
+    if (is_stopping_) {
+        turn_away(now, call, error_code::draining, duration::zero());
+        return;
+    }
     const auto exchange = call.exchange;
     open_call it;
     it.service = choosers_[rule.name].next(rule);
+    if (!call.is_nested &&
+        !roots_.admits(now, it.service, rule.priority, draw())) {
+        turn_away(now, call, error_code::overloaded, root_retry_after());
+        return;
+    }
     it.is_idempotent = rule.is_idempotent;
     it.priority = rule.priority;
     it.most_attempts = std::max<std::uint32_t>(rule.most_attempts, 1);
@@ -152,6 +168,7 @@
     if (it == nullptr || it->at != from)
         return;
     placement_of(it->service).on_load(from, reply.load);
+    note_strains(now, *it, reply);
     if (reply.is_leaving)
         remove_target(from);
     switch (reply.what) {
@@ -181,6 +198,38 @@
            {outcome::done, error_code::none, std::move(reply.response), {}});
 }
 
+void sender::note_strains(time_point now, const open_call& it,
+                          const relay_reply_frame& reply) {
+    double below = 0;
+    for (const auto& told : reply.strains) {
+        if (told.service != it.service)
+            below = std::max(below, told.strain);
+        if (it.call.is_nested)
+            nested_strains_[told.service] = {told.strain, now};
+    }
+    roots_.on_strain(now, it.service, below);
+}
+
+std::vector<overload::service_strain>
+sender::strains_below(time_point now) const {
+    std::vector<overload::service_strain> all;
+    for (const auto& [service, it] : nested_strains_)
+        if (now - it.at < strain_memory)
+            all.push_back({service, it.strain});
+    return all;
+}
+
+double sender::draw() const {
+    constexpr double bits_53 = 9007199254740992.0;
+    return static_cast<double>(hooks_.random() >> 11U) / bits_53;
+}
+
+duration sender::root_retry_after() const {
+    const auto spread = static_cast<double>(most_root_retry_after.count());
+    return least_root_retry_after +
+           duration(static_cast<std::int64_t>(spread * draw()));
+}
+
 void sender::refused(time_point now, open_call& it, error_code why,
                      duration retry_after) {
     ++it.refusals;
@@ -202,7 +251,11 @@
     ++it.attempts;
     it.may_have_run = true;
     it.refused_for = why;
-    if (!it.is_idempotent || it.attempts >= it.most_attempts ||
+    // What failed for want of room below would fail again.
+    const bool is_strained = why == error_code::target_failed &&
+                             roots_.strain_below(now, it.service) >
+                                 options_.roots.threshold;
+    if (!it.is_idempotent || it.attempts >= it.most_attempts || is_strained ||
         !repeats_of(it.service).take(now, live_nodes_)) {
         give_up(now, it);
         return;
@@ -308,6 +361,7 @@
     event.peer = it.at;
     event.policy_version = policy_version();
     event.attempt = it.attempts;
+    event.is_nested = it.call.is_nested;
     event.time_left_ms = milliseconds(it.end - now);
     hooks_.on_event(event);
 }
