--- a/source/coordination/include/redwingwind/coordination/messages.hpp
+++ b/source/coordination/include/redwingwind/coordination/messages.hpp
@@ -243,13 +243,13 @@
     service_name service;
     /// The service beside which the call began.
     service_name caller;
+    /// Name of the route in the configuration.
+    std::string route;
     http_request request;
     request_id id;
     /// 0 is served first.
     std::uint8_t priority{};
     bool is_idempotent{};
-    /// Made by a target while it runs a call.
-    bool is_nested{};
     /// Another target may have been given the call before.
     bool is_repeat{};
     /// Until nobody waits for the answer any more.
@@ -259,8 +259,8 @@
 
     template <class Archive>
     void serialize(Archive& ar) {
-        ar(sequence, service, caller, request, id, priority, is_idempotent,
-           is_nested, is_repeat, time_left_ms, latency_left_ms);
+        ar(sequence, service, caller, route, request, id, priority,
+           is_idempotent, is_repeat, time_left_ms, latency_left_ms);
     }
 };
 
@@ -276,11 +276,13 @@
     std::uint32_t retry_after_ms{};
     /// Strain of the target's service and of the services that it calls.
     std::vector<overload::service_strain> strains;
+    /// The call was most likely made by a target while it ran another one.
+    bool is_nested{};
 
     template <class Archive>
     void serialize(Archive& ar) {
         ar(sequence, what, why, response, load, is_leaving, retry_after_ms,
-           strains);
+           strains, is_nested);
     }
 };
 
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -223,8 +223,11 @@
         }
         links_->send_back(to, reply);
     };
-    h.strains_below = [this](time_point now) {
-        return sender_->strains_below(now);
+    h.strains_below = [this](time_point now, const std::string& route) {
+        return sender_->strains_below(now, route);
+    };
+    h.on_run = [this](time_point now, const std::string& route) {
+        sender_->on_run(now, route);
     };
     h.on_target = [this](target_state state, std::uint32_t slots) {
         on_target(state, slots);
@@ -290,9 +293,7 @@
 // Calls -----------------------------------------------------------------------
 
 void relay_daemon::on_outbound(io::stream_server::arrival arrival) {
-    const bool is_nested = arrival.caller == settings_.target.ip;
     auto call = platform_adapter::decode_call(std::move(arrival));
-    call.is_nested = is_nested;
     sender_->on_call(steady_now(), std::move(call));
     wake();
 }
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -33,7 +33,8 @@
                {"time_left_ms", event.time_left_ms},
                {"running", event.load.running},
                {"queued", event.load.queued},
-               {"limit", event.load.limit}});
+               {"limit", event.load.limit},
+               {"strain", event.strain}});
 }
 
 } // namespace redwingwind::node
--- /dev/null
+++ b/source/overload/include/redwingwind/overload/call_attribution.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <redwingwind/common/identifiers.hpp>
+#include <redwingwind/common/time.hpp>
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace redwingwind::overload {
+
+/// Learns how many calls to other services a run of each route makes. A call
+/// does not tell which run makes it, so the calls seen in short spans of time
+/// are explained by the runs that started in them, by a normalised
+/// least-mean-squares filter with no negative weights.
+class call_attribution {
+  public:
+    void on_run(time_point now, const std::string& route);
+    void on_call(time_point now, const service_name& service);
+
+    /// Services that a run of the route usually calls.
+    std::vector<service_name> called_by(const std::string& route) const;
+    double calls_per_run(const std::string& route,
+                         const service_name& service) const;
+
+  private:
+    struct route_state {
+        double runs{};
+        double smoothed{};
+    };
+    struct service_state {
+        double calls{};
+        double smoothed{};
+        std::unordered_map<std::string, double> per_run;
+    };
+
+    void close_spans(time_point now);
+    void learn();
+
+    std::unordered_map<std::string, route_state> routes_;
+    std::unordered_map<service_name, service_state> services_;
+    time_point span_start_{};
+};
+
+} // namespace redwingwind::overload
--- a/source/overload/include/redwingwind/overload/strain.hpp
+++ b/source/overload/include/redwingwind/overload/strain.hpp
@@ -6,7 +6,9 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace redwingwind::overload {
 
@@ -42,52 +44,62 @@
 };
 
 struct root_admission_options {
-    /// Strain above which calls of a priority are thinned out. The most
-    /// urgent ones are the last.
-    double urgent_threshold{0.5};
+    /// Strain of a service above which less is let in.
     double threshold{0.05};
     duration interval{std::chrono::milliseconds(100)};
-    /// Share of what is admitted that is taken away in an interval, and what
-    /// is given back.
-    double decrease{0.12};
-    double increase{0.04};
-    /// Nothing is thinned out below this share.
-    double least{0.25};
+    /// Change of the depth in an interval: at full strain, and without.
+    double deeper{0.15};
+    double shallower{0.04};
+    /// Of no priority less than this share is let in.
+    double least{0.2};
     /// What was told of a service counts for this long.
     duration memory{std::chrono::seconds(1)};
 };
 
 /// Decides at the node where a call enters whether it is let in at all.
 /// Answers the load pattern of a full service deep in the graph: a call that
-/// fails there wastes all that ran for it above, so as many as have room
-/// below are let in, the less urgent ones thinned out first.
+/// fails there wastes all that ran for it above, so only as many as have room
+/// below are let in. The less urgent ones are thinned out first, and more
+/// urgent ones only when that is not enough.
 class root_admission {
   public:
     explicit root_admission(root_admission_options options = {})
         : options_(options) {}
 
-    /// What an answer of the service told of the services below it.
-    void on_strain(time_point now, const service_name& service, double strain);
+    /// What an answer on the route told of the services below.
+    void on_answer(time_point now, const std::string& route,
+                   const std::vector<service_strain>& below);
     /// draw is uniform in 0 to 1.
-    bool admits(time_point now, const service_name& service,
+    bool admits(time_point now, const std::string& route,
                 std::uint8_t priority, double draw);
-    /// Strain below the service as last told; 0 when that is too old.
-    double strain_below(time_point now, const service_name& service) const;
+    /// The greatest strain below the route as last told; 0 when too old.
+    double strain_below(time_point now, const std::string& route) const;
 
   private:
-    static constexpr std::size_t priorities = 8;
+    /// Priorities from this on are treated alike.
+    static constexpr std::size_t priorities = 4;
 
-    struct state {
+    struct service_state {
         double strain{};
         time_point told{};
         time_point adjusted{};
-        std::array<double, priorities> share{};
+        /// 0 lets all in; each whole step thins out one more priority.
+        double depth{};
+        std::array<time_point, priorities> asked{};
+    };
+    struct below_route {
+        std::unordered_map<service_name, time_point> services;
     };
 
-    void adjust(time_point now, state& it) const;
+    void adjust(time_point now, service_state& it) const;
+    double share(time_point now, const service_state& it,
+                 std::size_t priority) const;
+    bool is_asked(time_point now, const service_state& it,
+                  std::size_t priority) const;
 
     root_admission_options options_;
-    std::unordered_map<service_name, state> services_;
+    std::unordered_map<service_name, service_state> services_;
+    std::unordered_map<std::string, below_route> routes_;
 };
 
 } // namespace redwingwind::overload
--- a/source/overload/include/redwingwind/overload/target_gate.hpp
+++ b/source/overload/include/redwingwind/overload/target_gate.hpp
@@ -51,6 +51,9 @@
     /// A call waits this long at the most.
     duration most_wait{std::chrono::seconds(2)};
     std::size_t most_waiting{4096};
+    /// Share of the slots that calls from outside may use while nested ones
+    /// wait.
+    double direct_share{0.15};
 
     auto operator<=>(const gate_options&) const = default;
 };
@@ -90,13 +93,17 @@
     static bool goes_before(const gate_call& a, const gate_call& b);
     time_point latest_start(time_point now, const gate_call& call) const;
     duration expected_wait(std::size_t place) const;
+    void begin(const gate_call& call, gate_steps& steps);
     void fill(gate_steps& steps);
+    std::size_t next_to_start() const;
     void refuse(std::size_t place, error_code why, gate_steps& steps);
 
     gate_options options_;
     /// Sorted, the first to start at the front.
     std::vector<waiting_call> waiting_;
-    std::unordered_map<std::uint64_t, std::uint8_t> running_;
+    /// By id, whether it is nested.
+    std::unordered_map<std::uint64_t, bool> running_;
+    std::size_t direct_running_{};
     /// Smoothed time at the target, in seconds.
     double usual_time_{0.05};
 };
--- a/source/overload/src/strain.cpp
+++ b/source/overload/src/strain.cpp
@@ -37,53 +37,82 @@
     return bad_ * fade(now) / (all_ * fade(now) + few_calls);
 }
 
-void root_admission::on_strain(time_point now, const service_name& service,
-                               double strain) {
-    auto& it = services_[service];
-    if (it.told == time_point{}) {
-        it.share.fill(1.0);
-        it.adjusted = now;
-    }
+void root_admission::on_answer(time_point now, const std::string& route,
+                               const std::vector<service_strain>& below) {
     constexpr double weight = 0.2;
-    it.strain += weight * (strain - it.strain);
-    it.told = now;
+    for (const auto& told : below) {
+        auto& it = services_[told.service];
+        it.strain += weight * (told.strain - it.strain);
+        it.told = now;
+    }
+    auto& known = routes_[route].services;
+    for (const auto& told : below)
+        known[told.service] = now;
 }
 
 double root_admission::strain_below(time_point now,
-                                    const service_name& service) const {
-    const auto found = services_.find(service);
-    if (found == services_.end() || now - found->second.told > options_.memory)
+                                    const std::string& route) const {
+    const auto known = routes_.find(route);
+    if (known == routes_.end())
         return 0;
-    return found->second.strain;
+    double most = 0;
+    for (const auto& [service, at] : known->second.services) {
+        const auto& it = services_.at(service);
+        if (now - at <= options_.memory && now - it.told <= options_.memory)
+            most = std::max(most, it.strain);
+    }
+    return most;
+}
+
+bool root_admission::is_asked(time_point now, const service_state& it,
+                              std::size_t priority) const {
+    return it.asked[priority] != time_point{} &&
+           now - it.asked[priority] <= options_.memory;
 }
 
-void root_admission::adjust(time_point now, state& it) const {
-    const auto steps = (now - it.adjusted) / options_.interval;
-    if (steps <= 0)
+void root_admission::adjust(time_point now, service_state& it) const {
+    const auto steps =
+        static_cast<double>((now - it.adjusted) / options_.interval);
+    if (steps < 1)
         return;
     it.adjusted = now;
-    const bool is_known = now - it.told <= options_.memory;
-    const double strain = is_known ? it.strain : 0;
-    for (std::size_t n = 0; n < priorities; ++n) {
-        const double threshold =
-            n == 0 ? options_.urgent_threshold : options_.threshold;
-        auto& share = it.share[n];
-        if (strain > threshold)
-            share = std::max(options_.least, share * (1 - options_.decrease));
-        else
-            share = std::min(1.0, share + options_.increase *
-                                              static_cast<double>(steps));
+    const double strain = now - it.told <= options_.memory ? it.strain : 0;
+    if (strain <= options_.threshold) {
+        it.depth = std::max(0.0, it.depth - options_.shallower * steps);
+        return;
     }
+    double most = 0;
+    for (std::size_t n = 0; n < priorities; ++n)
+        most += is_asked(now, it, n) ? 1 : 0;
+    it.depth = std::min(most, it.depth + options_.deeper * strain);
+}
+
+double root_admission::share(time_point now, const service_state& it,
+                             std::size_t priority) const {
+    double less_urgent = 0;
+    for (std::size_t n = priority + 1; n < priorities; ++n)
+        less_urgent += is_asked(now, it, n) ? 1 : 0;
+    const double cut = std::clamp(it.depth - less_urgent, 0.0, 1.0);
+    return 1 - cut * (1 - options_.least);
 }
 
-bool root_admission::admits(time_point now, const service_name& service,
+bool root_admission::admits(time_point now, const std::string& route,
                             std::uint8_t priority, double draw) {
-    const auto found = services_.find(service);
-    if (found == services_.end())
+    const auto known = routes_.find(route);
+    if (known == routes_.end())
         return true;
-    adjust(now, found->second);
     const auto n = std::min<std::size_t>(priority, priorities - 1);
-    return draw < found->second.share[n];
+    double least = 1;
+    // A service stays below the route while its depth is above 0: calls that
+    // are kept out bring no answers.
+    std::erase_if(known->second.services, [&](const auto& at) {
+        auto& it = services_.at(at.first);
+        it.asked[n] = now;
+        adjust(now, it);
+        least = std::min(least, share(now, it, n));
+        return it.depth <= 0 && now - at.second > options_.memory;
+    });
+    return draw < least;
 }
 
 } // namespace redwingwind::overload
--- a/source/overload/src/target_gate.cpp
+++ b/source/overload/src/target_gate.cpp
@@ -50,8 +50,7 @@
 gate_steps target_gate::arrive(time_point now, const gate_call& call) {
     gate_steps steps;
     if (waiting_.empty() && running_.size() < limit()) {
-        running_.emplace(call.id, call.priority);
-        steps.start.push_back(call.id);
+        begin(call, steps);
         return steps;
     }
     const auto at =
@@ -84,22 +83,41 @@
     waiting_.erase(at);
 }
 
+void target_gate::begin(const gate_call& call, gate_steps& steps) {
+    running_.emplace(call.id, call.is_nested);
+    direct_running_ += call.is_nested ? 0 : 1;
+    steps.start.push_back(call.id);
+}
+
+std::size_t target_gate::next_to_start() const {
+    const bool has_room = static_cast<double>(direct_running_) <
+                          options_.direct_share * limit();
+    if (!has_room || !waiting_.front().call.is_nested)
+        return 0;
+    const auto direct = std::find_if(
+        waiting_.begin(), waiting_.end(),
+        [](const auto& it) { return !it.call.is_nested; });
+    return direct == waiting_.end()
+               ? 0
+               : static_cast<std::size_t>(direct - waiting_.begin());
+}
+
 void target_gate::fill(gate_steps& steps) {
-    std::size_t n = 0;
-    while (n < waiting_.size() && running_.size() < limit()) {
-        const auto& call = waiting_[n].call;
-        running_.emplace(call.id, call.priority);
-        steps.start.push_back(call.id);
-        ++n;
+    while (!waiting_.empty() && running_.size() < limit()) {
+        const auto at = waiting_.begin() +
+                        static_cast<std::ptrdiff_t>(next_to_start());
+        begin(at->call, steps);
+        waiting_.erase(at);
     }
-    waiting_.erase(waiting_.begin(),
-                   waiting_.begin() + static_cast<std::ptrdiff_t>(n));
 }
 
 gate_steps target_gate::finish(time_point now, std::uint64_t id,
                                duration took) {
-    if (running_.erase(id) > 0)
+    if (const auto it = running_.find(id); it != running_.end()) {
+        direct_running_ -= it->second ? 0 : 1;
+        running_.erase(it);
         usual_time_ += time_weight * (seconds(took) - usual_time_);
+    }
     auto steps = expire(now);
     fill(steps);
     return steps;
--- a/source/relay/include/redwingwind/relay/call.hpp
+++ b/source/relay/include/redwingwind/relay/call.hpp
@@ -21,8 +21,6 @@
     request_id id;
     /// How long the caller will wait; nothing when it did not say.
     std::optional<duration> time_left;
-    /// The target beside this node makes it while it runs another call.
-    bool is_nested{};
     http_request request;
 };
 
@@ -79,6 +77,8 @@
     bool is_nested{};
     std::int64_t time_left_ms{};
     overload::load_report load;
+    /// Of the services below the called one, as last told.
+    double strain{};
 };
 
 } // namespace redwingwind::relay
--- a/source/relay/include/redwingwind/relay/runner.hpp
+++ b/source/relay/include/redwingwind/relay/runner.hpp
@@ -4,6 +4,7 @@
 #include <redwingwind/overload/strain.hpp>
 #include <redwingwind/overload/target_gate.hpp>
 #include <redwingwind/relay/call.hpp>
+#include <redwingwind/relay/route_origins.hpp>
 
 #include <functional>
 #include <map>
@@ -54,9 +55,12 @@
         /// The target became ready, draining or absent.
         std::function<void(coordination::target_state, std::uint32_t slots)>
             on_target;
-        /// Strain of the services that the target calls, for the replies.
-        std::function<std::vector<overload::service_strain>(time_point)>
+        /// Strain of the services that a run of the route calls.
+        std::function<std::vector<overload::service_strain>(
+            time_point, const std::string& route)>
             strains_below;
+        /// A run of the route started at the target.
+        std::function<void(time_point, const std::string& route)> on_run;
         std::function<void(const call_event&)> on_event;
     };
 
@@ -99,6 +103,7 @@
         time_point arrived;
         time_point started;
         bool is_running{};
+        bool is_nested{};
         /// Nobody waits for the answer any more.
         bool is_abandoned{};
     };
@@ -121,6 +126,7 @@
     hooks hooks_;
     overload::target_gate gate_;
     overload::strain_meter strain_;
+    route_origins origins_;
     target_announcement target_;
     coordination::target_state state_{coordination::target_state::absent};
     time_point last_announced_{};
--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <redwingwind/coordination/messages.hpp>
+#include <redwingwind/overload/call_attribution.hpp>
 #include <redwingwind/overload/placement.hpp>
 #include <redwingwind/overload/repeat_budget.hpp>
 #include <redwingwind/overload/strain.hpp>
@@ -58,8 +59,13 @@
     void remove_target(const node_name& node);
     /// This node stops: calls are turned away from now on.
     void stop() { is_stopping_ = true; }
-    /// Strain of the services that the target beside this node calls.
-    std::vector<overload::service_strain> strains_below(time_point now) const;
+    /// Strain of the services that a run of the route beside this node calls.
+    std::vector<overload::service_strain>
+    strains_below(time_point now, const std::string& route) const;
+    /// A run of the route started at the target beside this node.
+    void on_run(time_point now, const std::string& route) {
+        attribution_.on_run(now, route);
+    }
     void set_live_nodes(std::size_t n) { live_nodes_ = n; }
 
     void on_call(time_point now, incoming_call call);
@@ -82,6 +88,8 @@
         incoming_call call;
         service_name service;
         bool is_idempotent{};
+        std::string route;
+        bool is_nested{};
         std::uint8_t priority{};
         std::uint32_t most_attempts{1};
         time_point end;
@@ -135,11 +143,15 @@
     std::unordered_map<std::uint64_t, exchange_id> by_sequence_;
     std::priority_queue<due_call, std::vector<due_call>, std::greater<>> due_;
     overload::root_admission roots_;
-    struct told_strain {
-        double strain{};
+    overload::call_attribution attribution_;
+    struct told_strains {
+        std::vector<overload::service_strain> strains;
         time_point at;
     };
-    std::unordered_map<service_name, told_strain> nested_strains_;
+    /// By the service called by the target beside this node.
+    std::unordered_map<service_name, told_strains> nested_strains_;
+    /// By route, as told by the nodes beside targets.
+    std::unordered_map<std::string, bool> is_nested_;
     bool is_stopping_{};
     std::uint64_t next_sequence_{1};
     std::size_t live_nodes_{1};
--- a/source/relay/src/runner.cpp
+++ b/source/relay/src/runner.cpp
@@ -69,10 +69,11 @@
     relay_reply_frame answer;
     answer.sequence = it.key.sequence;
     answer.load = gate_.load();
+    answer.is_nested = it.is_nested;
     answer.is_leaving = state_ != target_state::ready;
-    answer.strains = hooks_.strains_below(now);
+    answer.strains = hooks_.strains_below(now, it.call.route);
     const double own = strain_.value(now);
-    if (own > least_strain)
+    if (it.is_nested && own > least_strain)
         answer.strains.push_back({options_.service, own});
     return answer;
 }
@@ -85,7 +86,7 @@
     event.why = why;
     event.service = options_.service;
     event.peer = it.key.caller.name;
-    event.is_nested = it.call.is_nested;
+    event.is_nested = it.is_nested;
     event.time_left_ms = milliseconds(it.deadline - now);
     event.load = gate_.load();
     hooks_.on_event(event);
@@ -99,9 +100,11 @@
     it.arrived = now;
     it.deadline = now + std::chrono::milliseconds(call.time_left_ms);
     it.call = std::move(call);
+    origins_.on_call(now, it.call.route, it.call.caller);
+    it.is_nested = origins_.is_nested(it.call.route);
     const auto useful =
         now + std::chrono::milliseconds(it.call.latency_left_ms);
-    overload::gate_call wanted{execution, it.call.priority, it.call.is_nested,
+    overload::gate_call wanted{execution, it.call.priority, it.is_nested,
                                it.deadline, useful};
     if (useful <= now)
         wanted.latest_useful = it.deadline;
@@ -130,7 +133,8 @@
     auto& it = open_.at(execution);
     it.is_running = true;
     it.started = now;
-    if (it.call.is_nested)
+    hooks_.on_run(now, it.call.route);
+    if (it.is_nested)
         strain_.on_started(now, now - it.arrived);
     target_call call;
     call.execution = execution;
@@ -148,7 +152,7 @@
     if (found == open_.end())
         return;
     const auto it = take(found);
-    if (it.call.is_nested)
+    if (it.is_nested)
         strain_.on_refused(now);
     auto answer = make_reply(it, now);
     answer.what = outcome::not_run;
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -98,8 +98,11 @@
     const auto exchange = call.exchange;
     open_call it;
     it.service = choosers_[rule.name].next(rule);
-    if (!call.is_nested &&
-        !roots_.admits(now, it.service, rule.priority, draw())) {
+    const auto known = is_nested_.find(rule.name);
+    it.is_nested = known != is_nested_.end() && known->second;
+    it.route = rule.name;
+    if (!it.is_nested &&
+        !roots_.admits(now, rule.name, rule.priority, draw())) {
         turn_away(now, call, error_code::overloaded, root_retry_after());
         return;
     }
@@ -112,6 +115,8 @@
     it.latest_useful = now + std::min(rule.target_latency, time);
     it.call = std::move(call);
     repeats_of(it.service).on_request(now);
+    if (it.is_nested)
+        attribution_.on_call(now, it.service);
     due_.push({it.end + options_.answer_grace, exchange});
     auto& added = open_[exchange] = std::move(it);
     place(now, added);
@@ -148,7 +153,7 @@
     call.id = it.call.id;
     call.priority = it.priority;
     call.is_idempotent = it.is_idempotent;
-    call.is_nested = it.call.is_nested;
+    call.route = it.route;
     call.is_repeat = it.attempts > 0;
     call.time_left_ms = static_cast<std::uint32_t>(milliseconds(it.end - now));
     call.latency_left_ms = static_cast<std::uint32_t>(
@@ -195,27 +200,27 @@
         return;
     }
     finish(now, *it,
-           {outcome::done, error_code::none, std::move(reply.response), {}});
+           {outcome::done, reply.why, std::move(reply.response), {}});
 }
 
 void sender::note_strains(time_point now, const open_call& it,
                           const relay_reply_frame& reply) {
-    double below = 0;
-    for (const auto& told : reply.strains) {
-        if (told.service != it.service)
-            below = std::max(below, told.strain);
-        if (it.call.is_nested)
-            nested_strains_[told.service] = {told.strain, now};
-    }
-    roots_.on_strain(now, it.service, below);
+    is_nested_[it.route] = reply.is_nested;
+    if (reply.is_nested)
+        nested_strains_[it.service] = {reply.strains, now};
+    else
+        roots_.on_answer(now, it.route, reply.strains);
 }
 
 std::vector<overload::service_strain>
-sender::strains_below(time_point now) const {
+sender::strains_below(time_point now, const std::string& route) const {
     std::vector<overload::service_strain> all;
-    for (const auto& [service, it] : nested_strains_)
-        if (now - it.at < strain_memory)
-            all.push_back({service, it.strain});
+    for (const auto& service : attribution_.called_by(route)) {
+        const auto it = nested_strains_.find(service);
+        if (it != nested_strains_.end() && now - it->second.at < strain_memory)
+            all.insert(all.end(), it->second.strains.begin(),
+                       it->second.strains.end());
+    }
     return all;
 }
 
@@ -253,7 +258,7 @@
     it.refused_for = why;
     // What failed for want of room below would fail again.
     const bool is_strained = why == error_code::target_failed &&
-                             roots_.strain_below(now, it.service) >
+                             roots_.strain_below(now, it.route) >
                                  options_.roots.threshold;
     if (!it.is_idempotent || it.attempts >= it.most_attempts || is_strained ||
         !repeats_of(it.service).take(now, live_nodes_)) {
@@ -286,7 +291,7 @@
 }
 
 void sender::finish(time_point now, open_call& it, call_answer answer) {
-    if (answer.what != outcome::done)
+    if (answer.why != error_code::none)
         note(it, now,
              answer.what == outcome::not_run ? "turned_away" : "failed",
              answer.why);
@@ -361,7 +366,8 @@
     event.peer = it.at;
     event.policy_version = policy_version();
     event.attempt = it.attempts;
-    event.is_nested = it.call.is_nested;
+    event.strain = roots_.strain_below(now, it.route);
+    event.is_nested = it.is_nested;
     event.time_left_ms = milliseconds(it.end - now);
     hooks_.on_event(event);
 }
