node, overload: settings are read again; calls of runs learned from deviations

Change: reload_flags() on SIGHUP and on a changed file, all or nothing; the filter works on deviations from slow averages; state lines every 5 s; nine in ten slots used below a target's knee (usable_share 0.94).

--- a/source/common/include/redwingwind/common/settings.hpp
+++ b/source/common/include/redwingwind/common/settings.hpp
@@ -23,4 +23,12 @@
                            const std::vector<setting_range>& ranges,
                            std::vector<std::string>& rest);
 
+/// Reads a file of lines "--FLAG=VALUE" into the flags again, checked as a
+/// whole: when one line is bad, no flag changes. Errors: bad_input, not_found.
+absl::Status reload_flags(const std::string& path,
+                          const std::vector<setting_range>& ranges);
+
+/// The file that --flagfile names; empty for none.
+std::string flag_file();
+
 } // namespace redwingwind
--- a/source/common/src/settings.cpp
+++ b/source/common/src/settings.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cstring>
+#include <fstream>
+#include <istream>
 #include <unistd.h>
 
 namespace redwingwind {
@@ -81,4 +83,66 @@
     return absl::OkStatus();
 }
 
+namespace {
+
+struct old_value {
+    absl::CommandLineFlag* flag{};
+    std::string text;
+};
+
+absl::Status take_line(const std::string& line, std::vector<old_value>& old) {
+    const auto equals = line.find('=');
+    if (line.substr(0, 2) != "--" || equals == std::string::npos)
+        return make_error(error_code::bad_input,
+                          absl::StrCat(line, ": --FLAG=VALUE is expected"));
+    auto* flag = absl::FindCommandLineFlag(line.substr(2, equals - 2));
+    if (flag == nullptr)
+        return make_error(error_code::bad_input,
+                          absl::StrCat(line, ": unknown flag"));
+    old.push_back({flag, flag->CurrentValue()});
+    std::string why;
+    if (!flag->ParseFrom(line.substr(equals + 1), &why))
+        return make_error(error_code::bad_input,
+                          absl::StrCat(line, ": ", why));
+    return absl::OkStatus();
+}
+
+absl::Status take_file(std::istream& file,
+                       const std::vector<setting_range>& ranges,
+                       std::vector<old_value>& old) {
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.empty() || line.front() == '#')
+            continue;
+        if (auto status = take_line(line, old); !status.ok())
+            return status;
+    }
+    for (const auto& range : ranges)
+        if (auto status = check_range(range); !status.ok())
+            return status;
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status reload_flags(const std::string& path,
+                          const std::vector<setting_range>& ranges) {
+    std::ifstream file(path);
+    if (!file)
+        return make_error(error_code::not_found, path);
+    std::vector<old_value> old;
+    auto status = take_file(file, ranges, old);
+    if (status.ok())
+        return status;
+    std::string why;
+    for (auto it = old.rbegin(); it != old.rend(); ++it)
+        it->flag->ParseFrom(it->text, &why);
+    return status;
+}
+
+std::string flag_file() {
+    const auto* flag = absl::FindCommandLineFlag("flagfile");
+    return flag == nullptr ? std::string() : flag->CurrentValue();
+}
+
 } // namespace redwingwind
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -35,6 +35,10 @@
 /// Callers that have no other node to go to are served until this long
 /// before the end, so that what they were promised can still be finished.
 constexpr duration last_calls_time = std::chrono::milliseconds(1300);
+/// How often the settings file is looked at: it may change without a signal.
+constexpr duration file_interval = std::chrono::seconds(1);
+/// How often a node writes the state that its decisions come from.
+constexpr duration state_interval = std::chrono::seconds(5);
 /// Then each answer closes its connection for this long.
 constexpr duration least_closing_time = std::chrono::milliseconds(800);
 
@@ -84,6 +88,8 @@
         settings_.self.where, agent_hooks());
     agent_->start();
     loop_.on_stop_signal([this] { begin_stop(); });
+    loop_.on_reload_signal([this] { reload(); });
+    look_at_file();
 }
 
 void relay_daemon::open_servers() {
@@ -120,6 +126,7 @@
               {{"node", settings_.self.id.name.value},
                {"service", settings_.self.service.value},
                {"domain", settings_.self.domain.value}});
+    log_state();
     wake();
     loop_.run();
     log_event(log_channel::node, log_level::info, "stopped");
@@ -497,6 +504,62 @@
     wake();
 }
 
+void relay_daemon::log_state() {
+    const auto now = steady_now();
+    const auto load = runner_->load();
+    nlohmann::json thinned = nlohmann::json::object();
+    for (const auto& it : sender_->roots().depths())
+        thinned[it.service.value] = {{"strain", it.strain},
+                                     {"depth", it.depth}};
+    nlohmann::json calls = nlohmann::json::array();
+    for (const auto& it : sender_->attribution().weights())
+        calls.push_back({{"route", it.route},
+                         {"service", it.service.value},
+                         {"calls_per_run", it.calls_per_run}});
+    log_event(log_channel::node, log_level::info, "state",
+              {{"running", load.running},
+               {"queued", load.queued},
+               {"limit", load.limit},
+               {"strain", runner_->strain(now)},
+               {"live_nodes", members_->live_count() + 1},
+               {"version", sender_->policy_version()},
+               {"open_calls", sender_->open_calls()},
+               {"thinned_out", thinned},
+               {"calls_of_runs", calls}});
+    loop_.after(state_interval, [this] { log_state(); });
+}
+
+void relay_daemon::reload() {
+    if (settings_.file.empty())
+        return;
+    auto status = reload_flags(settings_.file, relay_ranges());
+    auto read = status.ok() ? read_relay_settings()
+                            : absl::StatusOr<relay_settings>(status);
+    if (!read.ok()) {
+        log_event(log_channel::node, log_level::warn, "settings_kept",
+                  {{"why", std::string(read.status().message())}});
+        return;
+    }
+    settings_.stop_time = read->stop_time;
+    settings_.sender.repeats = read->sender.repeats;
+    sender_->set_repeats(read->sender.repeats);
+    log_event(log_channel::node, log_level::info, "settings_reloaded");
+}
+
+void relay_daemon::look_at_file() {
+    if (settings_.file.empty())
+        return;
+    std::error_code ec;
+    const auto changed = std::filesystem::last_write_time(settings_.file, ec);
+    const bool is_first = file_time_ == std::filesystem::file_time_type{};
+    if (!ec && changed != file_time_) {
+        file_time_ = changed;
+        if (!is_first)
+            reload();
+    }
+    loop_.after(file_interval, [this] { look_at_file(); });
+}
+
 void relay_daemon::begin_stop() {
     if (is_stopping_)
         return;
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -9,6 +9,7 @@
 #include <redwingwind/relay/runner.hpp>
 #include <redwingwind/relay/sender.hpp>
 
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
@@ -72,8 +73,11 @@
 
     void wake();
     void tick();
+    void reload();
+    void look_at_file();
     void begin_stop();
     void check_stop();
+    void log_state();
 
     relay_settings settings_;
     io::reactor loop_;
@@ -97,6 +101,7 @@
     time_point timer_due_{};
     time_point started_;
     time_point stop_since_{};
+    std::filesystem::file_time_type file_time_{};
     bool is_stopping_{};
 };
 
--- a/source/node/src/relay_settings.cpp
+++ b/source/node/src/relay_settings.cpp
@@ -169,6 +169,7 @@
     settings.runner.service = settings.self.service;
     settings.runner.announce_timeout =
         from_seconds(absl::GetFlag(FLAGS_heartbeat_s) * missed_heartbeats);
+    settings.file = flag_file();
     settings.log_level = absl::GetFlag(FLAGS_log_level);
     settings.is_check_only = absl::GetFlag(FLAGS_check_settings);
     return settings;
--- a/source/node/src/relay_settings.hpp
+++ b/source/node/src/relay_settings.hpp
@@ -43,6 +43,8 @@
     /// From the stop signal until the process is gone.
     duration stop_time{};
     std::string log_level;
+    /// Read again on SIGHUP and when it has changed; empty for none.
+    std::string file;
     bool is_check_only{};
 };
 
--- a/source/overload/include/redwingwind/overload/call_attribution.hpp
+++ b/source/overload/include/redwingwind/overload/call_attribution.hpp
@@ -20,24 +20,40 @@
 
     /// Services that a run of the route usually calls.
     std::vector<service_name> called_by(const std::string& route) const;
+    struct learned_weight {
+        std::string route;
+        service_name service;
+        double calls_per_run{};
+    };
+    /// All that was learned.
+    std::vector<learned_weight> weights() const;
     double calls_per_run(const std::string& route,
                          const service_name& service) const;
 
   private:
-    struct route_state {
-        double runs{};
-        double smoothed{};
+    /// Counts of a span, as they differ from their own slow average: what
+    /// rises and falls together with the load of a day explains nothing.
+    class signal {
+      public:
+        void add() { count_ += 1; }
+        void close_span();
+        double level() const { return slow_; }
+        double deviation() const { return fast_ - slow_; }
+
+      private:
+        double count_{};
+        double fast_{};
+        double slow_{};
     };
     struct service_state {
-        double calls{};
-        double smoothed{};
+        signal calls;
         std::unordered_map<std::string, double> per_run;
     };
 
     void close_spans(time_point now);
     void learn();
 
-    std::unordered_map<std::string, route_state> routes_;
+    std::unordered_map<std::string, signal> runs_;
     std::unordered_map<service_name, service_state> services_;
     time_point span_start_{};
 };
--- a/source/overload/include/redwingwind/overload/strain.hpp
+++ b/source/overload/include/redwingwind/overload/strain.hpp
@@ -51,7 +51,7 @@
     double deeper{0.15};
     double shallower{0.04};
     /// Of no priority less than this share is let in.
-    double least{0.2};
+    double least{0.1};
     /// What was told of a service counts for this long.
     duration memory{std::chrono::seconds(1)};
 };
@@ -74,6 +74,13 @@
                 std::uint8_t priority, double draw);
     /// The greatest strain below the route as last told; 0 when too old.
     double strain_below(time_point now, const std::string& route) const;
+    struct service_depth {
+        service_name service;
+        double strain{};
+        double depth{};
+    };
+    /// Of all services that calls are thinned out for.
+    std::vector<service_depth> depths() const;
 
   private:
     /// Priorities from this on are treated alike.
--- a/source/overload/include/redwingwind/overload/target_gate.hpp
+++ b/source/overload/include/redwingwind/overload/target_gate.hpp
@@ -45,7 +45,7 @@
     /// Calls that the target runs at once.
     std::uint32_t slots{1};
     /// Share of the slots that is used: targets grow slow when they are full.
-    double usable_share{0.96};
+    double usable_share{0.94};
     /// Share of the time in which an answer is useful that a call may wait.
     double wait_share{0.5};
     /// A call waits this long at the most.
--- a/source/overload/src/call_attribution.cpp
+++ b/source/overload/src/call_attribution.cpp
@@ -8,23 +8,24 @@
 constexpr duration span = std::chrono::milliseconds(100);
 /// Weight of the latest span in the smoothed counts: a run's calls may come
 /// some spans after its start.
-constexpr double span_weight = 0.3;
-constexpr double step = 0.05;
-/// Runs below this are taken for none, so that silence teaches nothing.
-constexpr double few_runs = 0.2;
+constexpr double fast_weight = 0.3;
+constexpr double slow_weight = 0.03;
+constexpr double step = 0.1;
 /// Fewer calls a run than this are taken for chance.
 constexpr double least_calls_per_run = 0.3;
+/// As are those below this share of the most that any route's runs make.
+constexpr double least_share_of_most = 0.35;
 
 } // namespace
 
 void call_attribution::on_run(time_point now, const std::string& route) {
     close_spans(now);
-    routes_[route].runs += 1;
+    runs_[route].add();
 }
 
 void call_attribution::on_call(time_point now, const service_name& service) {
     close_spans(now);
-    services_[service].calls += 1;
+    services_[service].calls.add();
 }
 
 void call_attribution::close_spans(time_point now) {
@@ -34,28 +35,43 @@
     learn();
 }
 
+void call_attribution::signal::close_span() {
+    fast_ += fast_weight * (count_ - fast_);
+    slow_ += slow_weight * (count_ - slow_);
+    count_ = 0;
+}
+
 void call_attribution::learn() {
-    double power = 1;
-    for (auto& [route, it] : routes_) {
-        it.smoothed += span_weight * (it.runs - it.smoothed);
-        it.runs = 0;
-        power += it.smoothed * it.smoothed;
+    double power = 0;
+    for (auto& [route, it] : runs_) {
+        it.close_span();
+        power += it.deviation() * it.deviation() + it.level() * fast_weight;
     }
+    if (power <= 0)
+        return;
     for (auto& [service, it] : services_) {
-        it.smoothed += span_weight * (it.calls - it.smoothed);
-        it.calls = 0;
-        double error = it.smoothed;
-        for (const auto& [route, of] : routes_)
-            error -= it.per_run[route] * of.smoothed;
-        for (const auto& [route, of] : routes_) {
-            if (of.smoothed < few_runs)
-                continue;
+        it.calls.close_span();
+        double error = it.calls.deviation();
+        for (const auto& [route, of] : runs_)
+            error -= it.per_run[route] * of.deviation();
+        for (const auto& [route, of] : runs_) {
             auto& weight = it.per_run[route];
-            weight = std::max(0.0, weight + step * error * of.smoothed / power);
+            weight = std::max(0.0,
+                              weight + step * error * of.deviation() / power);
         }
     }
 }
 
+std::vector<call_attribution::learned_weight>
+call_attribution::weights() const {
+    std::vector<learned_weight> all;
+    for (const auto& [service, it] : services_)
+        for (const auto& [route, n] : it.per_run)
+            if (n > least_calls_per_run)
+                all.push_back({route, service, n});
+    return all;
+}
+
 double call_attribution::calls_per_run(const std::string& route,
                                        const service_name& service) const {
     const auto known = services_.find(service);
@@ -68,9 +84,13 @@
 std::vector<service_name>
 call_attribution::called_by(const std::string& route) const {
     std::vector<service_name> called;
-    for (const auto& [service, it] : services_)
-        if (calls_per_run(route, service) > least_calls_per_run)
+    for (const auto& [service, it] : services_) {
+        double most = least_calls_per_run;
+        for (const auto& [other, n] : it.per_run)
+            most = std::max(most, n * least_share_of_most);
+        if (calls_per_run(route, service) > most)
             called.push_back(service);
+    }
     return called;
 }
 
--- a/source/overload/src/strain.cpp
+++ b/source/overload/src/strain.cpp
@@ -64,6 +64,14 @@
     return most;
 }
 
+std::vector<root_admission::service_depth> root_admission::depths() const {
+    std::vector<service_depth> all;
+    for (const auto& [service, it] : services_)
+        if (it.depth > 0)
+            all.push_back({service, it.strain, it.depth});
+    return all;
+}
+
 bool root_admission::is_asked(time_point now, const service_state& it,
                               std::size_t priority) const {
     return it.asked[priority] != time_point{} &&
--- a/source/relay/include/redwingwind/relay/runner.hpp
+++ b/source/relay/include/redwingwind/relay/runner.hpp
@@ -88,6 +88,7 @@
     coordination::target_state state() const { return state_; }
     overload::load_report load() const { return gate_.load(); }
     std::size_t open_calls() const { return open_.size(); }
+    double strain(time_point now) const { return strain_.value(now); }
 
   private:
     struct call_key {
--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -66,6 +66,8 @@
     void on_run(time_point now, const std::string& route) {
         attribution_.on_run(now, route);
     }
+    /// The bound on repeats changed.
+    void set_repeats(const overload::repeat_options& repeats);
     void set_live_nodes(std::size_t n) { live_nodes_ = n; }
 
     void on_call(time_point now, incoming_call call);
@@ -82,6 +84,10 @@
 
     std::uint64_t policy_version() const;
     std::size_t open_calls() const { return open_.size(); }
+    const overload::root_admission& roots() const { return roots_; }
+    const overload::call_attribution& attribution() const {
+        return attribution_;
+    }
 
   private:
     struct open_call {
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -72,6 +72,12 @@
     service_of_node_.erase(known);
 }
 
+void sender::set_repeats(const overload::repeat_options& repeats) {
+    options_.repeats = repeats;
+    for (auto& [service, it] : repeats_)
+        it.set_options(repeats);
+}
+
 void sender::turn_away(time_point now, const incoming_call& call,
                        error_code why, duration retry_after) {
     open_call it;
