--- /dev/null
+++ b/source/io/test/stream_test.cpp
@@ -0,0 +1,403 @@
+#define BOOST_TEST_MODULE streams_byte_for_byte
+#include <redwingwind/io/http.hpp>
+#include <redwingwind/io/stream_client.hpp>
+#include <redwingwind/io/stream_server.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace redwingwind;
+using namespace redwingwind::io;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration patience = 5s;
+
+sockaddr_in loopback(std::uint16_t port) {
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(port);
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return where;
+}
+
+/// A raw caller in the loop of the test: what it sends is sent at once, what
+/// comes back is kept.
+class raw_caller {
+  public:
+    raw_caller(reactor& loop, std::uint16_t port)
+        : loop_(loop), fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+        const auto where = loopback(port);
+        BOOST_REQUIRE(connect(fd_, reinterpret_cast<const sockaddr*>(&where),
+                              sizeof(where)) == 0);
+        watch_ = loop_.watch(fd_, [this](bool, bool) { take(); });
+        watch_.want(true, false);
+    }
+    ~raw_caller() { leave(); }
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    void send(const std::string& bytes) const {
+        BOOST_REQUIRE(write(fd_, bytes.data(), bytes.size()) ==
+                      static_cast<ssize_t>(bytes.size()));
+    }
+    void leave() {
+        if (fd_ < 0)
+            return;
+        watch_.reset();
+        close(fd_);
+        fd_ = -1;
+    }
+    bool wait_for(const std::string& text) {
+        return loop_.run_until(
+            [&] { return got.find(text) != std::string::npos; }, patience);
+    }
+    bool wait_for_end() {
+        return loop_.run_until([&] { return is_over; }, patience);
+    }
+
+    std::string got;
+    bool is_over{};
+
+  private:
+    void take() {
+        char buf[4096];
+        const auto n = read(fd_, buf, sizeof(buf));
+        if (n > 0)
+            got.append(buf, static_cast<std::size_t>(n));
+        is_over = n <= 0;
+        if (is_over)
+            watch_.reset();
+    }
+
+    reactor& loop_;
+    int fd_;
+    descriptor_watch watch_;
+};
+
+/// A server that keeps what it was asked and answers "ok" by itself.
+struct kept_server {
+    explicit kept_server(reactor& loop, stream_limits limits = {})
+        : it(loop, {}, limits,
+             {[this](stream_server::arrival a) {
+                  asked.push_back(a);
+                  if (answers)
+                      it.respond(a.exchange, {200, {}, "ok"});
+              },
+              [this](stream_server::exchange_id id) { gone.push_back(id); }}) {}
+
+    bool answers{true};
+    std::vector<stream_server::arrival> asked;
+    std::vector<stream_server::exchange_id> gone;
+    stream_server it;
+};
+
+/// A raw target: gives the next of its answers to each thing that it reads,
+/// "" to end the connection, "reset" to reset it.
+class raw_target {
+  public:
+    raw_target(reactor& loop, std::vector<std::string> answers)
+        : loop_(loop), answers_(std::move(answers)),
+          listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+        auto where = loopback(0);
+        socklen_t n = sizeof(where);
+        auto* generic = reinterpret_cast<sockaddr*>(&where);
+        BOOST_REQUIRE(bind(listener_, generic, n) == 0);
+        BOOST_REQUIRE(listen(listener_, 8) == 0);
+        getsockname(listener_, generic, &n);
+        port = ntohs(where.sin_port);
+        accept_watch_ = loop_.watch(listener_, [this](bool, bool) { take(); });
+        accept_watch_.want(true, false);
+    }
+    ~raw_target() {
+        accept_watch_.reset();
+        close(listener_);
+        for (auto& it : peers_) {
+            it.watch.reset();
+            if (it.fd >= 0)
+                close(it.fd);
+        }
+    }
+    raw_target(const raw_target&) = delete;
+    raw_target& operator=(const raw_target&) = delete;
+
+    std::uint16_t port{};
+    std::vector<std::string> read_bytes;
+
+  private:
+    struct peer {
+        int fd{-1};
+        descriptor_watch watch;
+    };
+
+    void take() {
+        const int fd = accept(listener_, nullptr, nullptr);
+        const auto n = peers_.size();
+        peers_.push_back({fd, loop_.watch(fd, [this, n](bool, bool) {
+                              answer(peers_[n]);
+                          })});
+        peers_.back().watch.want(true, false);
+    }
+
+    void answer(peer& to) {
+        char buf[65536];
+        const auto n = read(to.fd, buf, sizeof(buf));
+        const auto place = read_bytes.size();
+        if (n > 0)
+            read_bytes.emplace_back(buf, static_cast<std::size_t>(n));
+        std::string text =
+            n > 0 && place < answers_.size() ? answers_[place] : "";
+        const bool is_reset = text == "reset";
+        const auto cut = text.find("|reset");
+        if (cut != std::string::npos)
+            text.resize(cut);
+        if (!text.empty() && !is_reset)
+            (void)!write(to.fd, text.data(), text.size());
+        const bool ends = text.empty() || is_reset ||
+                          cut != std::string::npos ||
+                          text.find("Content-Length") == std::string::npos;
+        if (!ends)
+            return;
+        if (is_reset || cut != std::string::npos) {
+            const linger now{1, 0};
+            setsockopt(to.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        }
+        to.watch.reset();
+        close(to.fd);
+        to.fd = -1;
+    }
+
+    reactor& loop_;
+    std::vector<std::string> answers_;
+    int listener_;
+    descriptor_watch accept_watch_;
+    std::vector<peer> peers_;
+};
+
+stream_call call_with_id(const std::string& id) {
+    stream_call call;
+    call.request = {"GET", "/a", {{"Id", id}}, ""};
+    call.echo_header = "Id";
+    call.echo_value = id;
+    return call;
+}
+
+std::string answer_to(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+stream_result ask(reactor& loop, stream_client& client, stream_call call) {
+    std::optional<stream_result> result;
+    client.start(std::move(call),
+                 [&](stream_result r) { result = std::move(r); });
+    BOOST_REQUIRE(loop.run_until([&] { return result.has_value(); }, patience));
+    return *result;
+}
+
+stream_client_options to_port(std::uint16_t port) {
+    stream_client_options options;
+    options.ip = "127.0.0.1";
+    options.port = port;
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_server)
+
+BOOST_AUTO_TEST_CASE(hands_over_the_target_and_the_headers_as_they_came) {
+    reactor loop;
+    kept_server server(loop);
+    raw_caller caller(loop, server.it.port());
+    caller.send("GET /a%2Fb%20c?x=%26y HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n");
+    BOOST_TEST(caller.wait_for("ok"));
+    BOOST_REQUIRE(server.asked.size() == 1U);
+    const auto& request = server.asked[0].request;
+    BOOST_TEST(request.target == "/a%2Fb%20c?x=%26y");
+    BOOST_TEST(request.headers.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_bodies_by_length_and_in_chunks) {
+    reactor loop;
+    kept_server server(loop);
+    raw_caller caller(loop, server.it.port());
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+                "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                "\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
+    BOOST_TEST(
+        loop.run_until([&] { return server.asked.size() == 2; }, patience));
+    BOOST_TEST(server.asked[0].request.body == "abc");
+    BOOST_TEST(server.asked[1].request.body == "def");
+}
+
+BOOST_AUTO_TEST_CASE(runs_nothing_that_is_hidden_behind_two_lengths) {
+    const std::vector<std::string> framings{
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4",
+        "Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 5",
+        "Content-Length: -1"};
+    for (const auto& framing : framings) {
+        reactor loop;
+        kept_server server(loop);
+        raw_caller caller(loop, server.it.port());
+        caller.send("POST /a HTTP/1.1\r\nHost: h\r\n" + framing +
+                    "\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n");
+        BOOST_TEST(caller.wait_for("HTTP/1.1 400 "));
+        BOOST_TEST(caller.wait_for_end());
+        BOOST_TEST(server.asked.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refuses_what_is_too_large) {
+    reactor loop;
+    stream_limits limits;
+    limits.message = {256, 10};
+    kept_server server(loop, limits);
+    raw_caller with_header(loop, server.it.port());
+    with_header.send("GET /a HTTP/1.1\r\nHost: h\r\nX: " +
+                     std::string(400, 'x') + "\r\n\r\n");
+    BOOST_TEST(with_header.wait_for("HTTP/1.1 431 "));
+    raw_caller with_body(loop, server.it.port());
+    with_body.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+    BOOST_TEST(with_body.wait_for("HTTP/1.1 413 "));
+    BOOST_TEST(server.asked.empty());
+}
+
+BOOST_AUTO_TEST_CASE(notices_a_caller_that_leaves) {
+    reactor loop;
+    kept_server server(loop);
+    server.answers = false;
+    raw_caller caller(loop, server.it.port());
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(loop.run_until([&] { return !server.asked.empty(); }, patience));
+    caller.leave();
+    BOOST_TEST(loop.run_until([&] { return !server.gone.empty(); }, patience));
+    BOOST_TEST(server.gone[0] == server.asked[0].exchange);
+    // Its answer goes nowhere, and to no other caller.
+    raw_caller other(loop, server.it.port());
+    server.it.respond(server.asked[0].exchange, {200, {}, "late"});
+    server.answers = true;
+    other.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(other.wait_for("ok"));
+    BOOST_TEST(other.got.find("late") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(closes_with_the_answer_once_it_stops) {
+    reactor loop;
+    kept_server server(loop);
+    server.it.close_gradually();
+    raw_caller caller(loop, server.it.port());
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(caller.wait_for_end());
+    BOOST_TEST(caller.got.find("Connection: close") != std::string::npos);
+    BOOST_TEST(caller.got.substr(caller.got.size() - 2) == "ok");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_client)
+
+BOOST_AUTO_TEST_CASE(sends_only_what_it_was_given) {
+    reactor loop;
+    raw_target target(loop, {answer_to("1", "body")});
+    stream_client client(loop, to_port(target.port));
+    const auto result = ask(loop, client, call_with_id("1"));
+    BOOST_TEST(result.response.body == "body");
+    BOOST_TEST(target.read_bytes[0] == "GET /a HTTP/1.1\r\nId: 1\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(never_sends_again_by_itself) {
+    reactor loop;
+    raw_target target(loop, {answer_to("1", "a"), "reset"});
+    stream_client client(loop, to_port(target.port));
+    ask(loop, client, call_with_id("1"));
+    const auto result = ask(loop, client, call_with_id("2"));
+    BOOST_TEST(result.was_reused);
+    BOOST_TEST((result.failure == stream_failure::cut_off));
+    BOOST_TEST(target.read_bytes.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(passes_over_the_late_answer_to_another_request) {
+    reactor loop;
+    raw_target target(loop, {answer_to("0", "late") + answer_to("1", "own")});
+    stream_client client(loop, to_port(target.port));
+    const auto result = ask(loop, client, call_with_id("1"));
+    BOOST_TEST(result.response.body == "own");
+    BOOST_TEST(client.counters().stray_answers == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_no_connection_with_bytes_behind_the_answer) {
+    reactor loop;
+    raw_target target(loop, {answer_to("1", "a") + answer_to("1", "again"),
+                             answer_to("2", "b")});
+    stream_client client(loop, to_port(target.port));
+    ask(loop, client, call_with_id("1"));
+    BOOST_TEST(client.open_connections() == 0U);
+    BOOST_TEST(ask(loop, client, call_with_id("2")).response.body == "b");
+}
+
+BOOST_AUTO_TEST_CASE(tells_a_whole_answer_without_a_length_from_a_cut_one) {
+    reactor loop;
+    const std::string open = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it";
+    raw_target whole(loop, {open});
+    stream_client to_whole(loop, to_port(whole.port));
+    BOOST_TEST(ask(loop, to_whole, call_with_id("1")).response.body ==
+               "all of it");
+    raw_target cut(loop, {open + "|reset"});
+    stream_client to_cut(loop, to_port(cut.port));
+    BOOST_TEST((ask(loop, to_cut, call_with_id("1")).failure ==
+                stream_failure::cut_off));
+}
+
+BOOST_AUTO_TEST_CASE(takes_an_answer_cut_short_for_none) {
+    reactor loop;
+    raw_target target(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nx|"
+                             "reset",
+                             "no HTTP at all, Content-Length\r\n\r\n"});
+    stream_client client(loop, to_port(target.port));
+    BOOST_TEST((ask(loop, client, call_with_id("1")).failure ==
+                stream_failure::cut_off));
+    BOOST_TEST((ask(loop, client, call_with_id("2")).failure ==
+                stream_failure::malformed));
+}
+
+BOOST_AUTO_TEST_CASE(knows_when_nothing_was_sent) {
+    reactor loop;
+    std::uint16_t closed = 0;
+    {
+        raw_target target(loop, {});
+        closed = target.port;
+    }
+    stream_client client(loop, to_port(closed));
+    BOOST_TEST((ask(loop, client, call_with_id("1")).failure ==
+                stream_failure::not_connected));
+}
+
+BOOST_AUTO_TEST_CASE(lets_a_callback_end_another_call) {
+    reactor loop;
+    raw_target target(loop, {"reset", "reset"});
+    stream_client client(loop, to_port(target.port));
+    bool is_over = false;
+    stream_client::call_id second = 0;
+    client.start(call_with_id("1"), [&](const stream_result&) {
+        client.cancel(second);
+        is_over = true;
+    });
+    second = client.start(call_with_id("2"),
+                          [&](const stream_result&) { is_over = true; });
+    BOOST_TEST(loop.run_until([&] { return is_over; }, patience));
+    loop.run_until([] { return false; }, 300ms);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/source/overload/include/redwingwind/overload/strain.hpp
+++ b/source/overload/include/redwingwind/overload/strain.hpp
@@ -45,11 +45,11 @@
 
 struct root_admission_options {
     /// Strain of a service above which less is let in.
-    double threshold{0.05};
+    double threshold{0.5};
     duration interval{std::chrono::milliseconds(100)};
     /// Change of the depth in an interval: at full strain, and without.
     double deeper{0.15};
-    double shallower{0.04};
+    double shallower{0.06};
     /// Of no priority less than this share is let in.
     double least{0.1};
     /// What was told of a service counts for this long.
@@ -70,8 +70,8 @@
     void on_answer(time_point now, const std::string& route,
                    const std::vector<service_strain>& below);
     /// draw is uniform in 0 to 1.
-    bool admits(time_point now, const std::string& route,
-                std::uint8_t priority, double draw);
+    bool admits(time_point now, const std::string& route, std::uint8_t priority,
+                double draw);
     /// The greatest strain below the route as last told; 0 when too old.
     double strain_below(time_point now, const std::string& route) const;
     struct service_depth {
--- /dev/null
+++ b/source/relay/test/relay_test.cpp
@@ -0,0 +1,397 @@
+#define BOOST_TEST_MODULE a_call_from_caller_to_target
+#include <boost/test/unit_test.hpp>
+
+#include <redwingwind/relay/route_origins.hpp>
+#include <redwingwind/relay/route_table.hpp>
+#include <redwingwind/relay/runner.hpp>
+#include <redwingwind/relay/sender.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace redwingwind;
+using namespace redwingwind::relay;
+using coordination::outcome;
+using coordination::relay_call_frame;
+using coordination::relay_reply_frame;
+using coordination::target_state;
+using ms = std::chrono::milliseconds;
+
+namespace {
+
+const time_point start{std::chrono::seconds(100)};
+
+route make_route(const std::string& name, const std::string& prefix,
+                 bool is_idempotent) {
+    route it;
+    it.name = name;
+    it.host = "shop.example";
+    it.path_prefix = prefix;
+    it.is_idempotent = is_idempotent;
+    it.most_attempts = 3;
+    it.parts = {{{"orders"}, 1}};
+    return it;
+}
+
+traffic_policy two_routes(std::uint64_t version) {
+    traffic_policy policy;
+    policy.version = version;
+    policy.routes = {make_route("look", "/look/", true),
+                     make_route("buy", "/buy/", false)};
+    return policy;
+}
+
+incoming_call call_to(const std::string& target, exchange_id exchange = 1) {
+    incoming_call call;
+    call.exchange = exchange;
+    call.host = "shop.example";
+    call.id = {"id-" + std::to_string(exchange)};
+    call.time_left = std::chrono::seconds(2);
+    call.request = {"GET", target, {}, ""};
+    return call;
+}
+
+/// A sender with two targets, whose frames and answers are kept.
+struct sending_node {
+    struct sent_call {
+        node_name to;
+        relay_call_frame call;
+    };
+
+    sending_node() : it(options(), hooks()) {
+        it.set_policy(std::make_shared<const traffic_policy>(two_routes(1)));
+        it.set_live_nodes(1);
+        it.add_target({"orders"}, {{"node-a"}, {"d"}, 10});
+        it.add_target({"orders"}, {{"node-b"}, {"d"}, 10});
+    }
+
+    static sender_options options() {
+        sender_options o;
+        o.service = {"front"};
+        o.domain = {"d"};
+        return o;
+    }
+
+    sender::hooks hooks() {
+        sender::hooks h;
+        h.send = [this](const node_name& to, const relay_call_frame& call) {
+            sent.push_back({to, call});
+        };
+        h.cancel = [this](const node_name&,
+                          const coordination::cancel_frame& cancel) {
+            cancelled.push_back(cancel.sequence);
+        };
+        h.answer = [this](exchange_id exchange, call_answer answer) {
+            BOOST_TEST(answers.count(exchange) == 0U);
+            answers[exchange] = std::move(answer);
+        };
+        h.on_event = [](const call_event&) {};
+        h.random = make_random(7);
+        return h;
+    }
+
+    relay_reply_frame reply(outcome what, error_code why = error_code::none) {
+        relay_reply_frame r;
+        r.sequence = sent.back().call.sequence;
+        r.what = what;
+        r.why = why;
+        r.response.status = 200;
+        r.load.limit = 10;
+        return r;
+    }
+
+    void answer_last(const relay_reply_frame& r, time_point now = start) {
+        it.on_reply(now, sent.back().to, r);
+    }
+
+    std::vector<sent_call> sent;
+    std::vector<std::uint64_t> cancelled;
+    std::map<exchange_id, call_answer> answers;
+    sender it;
+};
+
+/// A runner with a ready target of one slot.
+struct running_node {
+    running_node() : it(options(), hooks()) {
+        target_announcement said;
+        said.instance = "i-1";
+        said.service = {"orders"};
+        said.slots = 1;
+        said.started_ms = 1000;
+        said.sequence = 1;
+        it.announce(start, said);
+    }
+
+    static runner_options options() {
+        runner_options o;
+        o.service = {"orders"};
+        return o;
+    }
+
+    runner::hooks hooks() {
+        runner::hooks h;
+        h.dispatch = [this](const target_call& c) { started.push_back(c); };
+        h.abort = [this](std::uint64_t n) { aborted.push_back(n); };
+        h.reply = [this](const node_life&, const relay_reply_frame& r) {
+            replies.push_back(r);
+        };
+        h.on_target = [this](target_state s, std::uint32_t) { state = s; };
+        h.strains_below = [](time_point, const std::string&) {
+            return std::vector<overload::service_strain>();
+        };
+        h.on_run = [](time_point, const std::string&) {};
+        h.on_event = [](const call_event&) {};
+        return h;
+    }
+
+    void ask(std::uint64_t sequence, bool is_idempotent = true) {
+        relay_call_frame call;
+        call.sequence = sequence;
+        call.service = {"orders"};
+        call.caller = {"front"};
+        call.route = "look";
+        call.is_idempotent = is_idempotent;
+        call.time_left_ms = 1000;
+        call.latency_left_ms = 500;
+        it.on_call(start, caller, call);
+    }
+
+    node_life caller{{"caller"}, {1}};
+    std::vector<target_call> started;
+    std::vector<std::uint64_t> aborted;
+    std::vector<relay_reply_frame> replies;
+    target_state state{target_state::absent};
+    runner it;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(routes)
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins) {
+    auto policy = two_routes(1);
+    policy.routes.push_back(make_route("deep", "/look/deep/", true));
+    policy.routes.push_back(make_route("all", "/", true));
+    const route_table table(
+        std::make_shared<const traffic_policy>(std::move(policy)));
+    const auto name = [&](const char* host, const char* target) {
+        const auto n = table.find(host, target);
+        return n == route_table::npos ? "" : table.at(n).name;
+    };
+    BOOST_TEST(name("shop.example", "/look/a?x=/look/deep/") == "look");
+    BOOST_TEST(name("SHOP.example:80", "/look/deep/a") == "deep");
+    BOOST_TEST(name("shop.example", "/look/deep") == "look");
+    BOOST_TEST(name("shop.example", "/other") == "all");
+    BOOST_TEST(name("elsewhere.example", "/look/a") == "");
+    BOOST_TEST(name("shop.example", "*") == "");
+}
+
+BOOST_AUTO_TEST_CASE(parts_get_their_weights_at_any_moment) {
+    auto rule = make_route("look", "/look/", true);
+    rule.parts = {{{"a"}, 90}, {{"b"}, 10}};
+    part_chooser chooser;
+    int b = 0;
+    for (int n = 1; n <= 200; ++n) {
+        b += chooser.next(rule).value == "b" ? 1 : 0;
+        BOOST_TEST(std::abs(b - n / 10.0) <= 1.0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nested_ones_are_known_by_where_their_calls_begin) {
+    route_origins origins;
+    for (int n = 0; n < 60; ++n) {
+        for (const auto* from : {"a", "b", "c"})
+            origins.on_call(start, "outside", {from});
+        origins.on_call(start, "inside", {"a"});
+    }
+    BOOST_TEST(!origins.is_nested("outside"));
+    BOOST_TEST(origins.is_nested("inside"));
+    BOOST_TEST(!origins.is_nested("never seen"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_callers_node)
+
+BOOST_AUTO_TEST_CASE(without_a_configuration_promises_that_nothing_ran) {
+    sending_node node;
+    sender blank(sending_node::options(), node.hooks());
+    blank.on_call(start, call_to("/look/a"));
+    BOOST_TEST((node.answers.at(1).what == outcome::not_run));
+    BOOST_TEST((node.answers.at(1).why == error_code::no_policy));
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_and_answers) {
+    sending_node node;
+    node.it.on_call(start, call_to("/look/a%2Fb?x=%26"));
+    BOOST_TEST(node.sent.back().call.request.target == "/look/a%2Fb?x=%26");
+    BOOST_TEST(node.sent.back().call.time_left_ms == 2000U);
+    node.answer_last(node.reply(outcome::done));
+    BOOST_TEST((node.answers.at(1).what == outcome::done));
+    BOOST_TEST(node.it.open_calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(tries_another_node_after_a_proof_that_it_did_not_run) {
+    sending_node node;
+    node.it.on_call(start, call_to("/buy/a"));
+    const auto first = node.sent.back().to;
+    node.answer_last(node.reply(outcome::not_run, error_code::overloaded));
+    BOOST_TEST(node.sent.size() == 2U);
+    BOOST_TEST((node.sent.back().to != first));
+    node.answer_last(node.reply(outcome::not_run, error_code::overloaded));
+    BOOST_TEST((node.answers.at(1).what == outcome::not_run));
+}
+
+BOOST_AUTO_TEST_CASE(never_repeats_what_must_run_once) {
+    sending_node node;
+    node.it.on_call(start, call_to("/buy/a"));
+    node.answer_last(node.reply(outcome::unknown, error_code::cut_off));
+    BOOST_TEST(node.sent.size() == 1U);
+    BOOST_TEST((node.answers.at(1).what == outcome::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(repeats_what_may_run_twice_but_promises_nothing_then) {
+    sending_node node;
+    for (int n = 0; n < 100; ++n) {
+        node.it.on_call(start, call_to("/look/a", 100 + n));
+        node.answer_last(node.reply(outcome::done));
+    }
+    node.it.on_call(start, call_to("/look/a", 1));
+    node.answer_last(node.reply(outcome::unknown, error_code::cut_off));
+    BOOST_TEST(node.sent.back().call.is_repeat);
+    node.answer_last(node.reply(outcome::not_run, error_code::overloaded));
+    BOOST_TEST((node.answers.at(1).what == outcome::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(knows_that_nothing_arrived_over_a_refused_connection) {
+    sending_node node;
+    node.it.on_call(start, call_to("/buy/a"));
+    node.it.on_unreachable(start, node.sent.back().to, false);
+    BOOST_TEST(node.sent.size() == 2U);
+    node.it.on_unreachable(start, node.sent.back().to, true);
+    BOOST_TEST((node.answers.at(1).what == outcome::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(answers_at_the_end_of_the_time_and_stops_the_work) {
+    sending_node node;
+    node.it.on_call(start, call_to("/look/a"));
+    node.it.tick(start + ms(1999));
+    BOOST_TEST(node.answers.empty());
+    node.it.tick(node.it.next_due());
+    BOOST_TEST((node.answers.at(1).why == error_code::timed_out));
+    BOOST_TEST(node.cancelled.size() == 1U);
+    // An answer that comes after that is nobody's.
+    node.answer_last(node.reply(outcome::done));
+}
+
+BOOST_AUTO_TEST_CASE(stops_the_work_of_a_caller_that_left) {
+    sending_node node;
+    node.it.on_call(start, call_to("/look/a"));
+    node.it.on_gone(start, 1);
+    BOOST_TEST(node.cancelled.size() == 1U);
+    BOOST_TEST(node.it.open_calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(never_goes_back_to_an_older_configuration) {
+    sending_node node;
+    node.it.set_policy(std::make_shared<const traffic_policy>(two_routes(5)));
+    node.it.set_policy(std::make_shared<const traffic_policy>(two_routes(4)));
+    BOOST_TEST(node.it.policy_version() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_calls_shortly_before_it_is_gone) {
+    sending_node node;
+    node.it.stop();
+    node.it.on_call(start, call_to("/buy/a"));
+    BOOST_TEST((node.answers.at(1).why == error_code::draining));
+    BOOST_TEST(node.sent.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_targets_node)
+
+BOOST_AUTO_TEST_CASE(forgets_a_call_that_ended_under_both_its_names) {
+    running_node node;
+    node.ask(1);
+    node.it.target_ended(start, node.started.back().execution,
+                         {target_end::answered, {}, false});
+    BOOST_TEST((node.replies.back().what == outcome::done));
+    // A cancel that crossed the answer finds nothing, and does not throw.
+    node.it.on_cancel(start, node.caller, 1);
+    node.it.on_caller_gone(start, node.caller);
+    BOOST_TEST(node.aborted.empty());
+    BOOST_TEST(node.it.open_calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(stops_repeatable_work_of_a_caller_that_left) {
+    running_node node;
+    node.ask(1);
+    node.ask(2);
+    node.it.on_cancel(start, node.caller, 1);
+    BOOST_TEST(node.aborted.size() == 1U);
+    BOOST_TEST(node.started.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(lets_work_that_must_run_once_come_to_its_end) {
+    running_node node;
+    node.ask(1, false);
+    node.it.on_cancel(start, node.caller, 1);
+    BOOST_TEST(node.aborted.empty());
+    node.it.target_ended(start, node.started.back().execution,
+                         {target_end::answered, {}, false});
+    BOOST_TEST(node.replies.empty());
+}
+
+BOOST_AUTO_TEST_CASE(gives_a_leaving_target_nothing_new) {
+    running_node node;
+    node.ask(1);
+    node.ask(2);
+    node.it.withdraw_target(start, "i-1");
+    BOOST_TEST((node.state == target_state::draining));
+    BOOST_REQUIRE(node.replies.size() == 1U);
+    BOOST_TEST((node.replies[0].what == outcome::not_run));
+    node.ask(3);
+    BOOST_TEST(node.started.size() == 1U);
+    BOOST_TEST((node.replies[1].why == error_code::draining));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_misled_by_a_late_heartbeat_of_an_earlier_life) {
+    running_node node;
+    target_announcement newer;
+    newer.instance = "i-2";
+    newer.service = {"orders"};
+    newer.slots = 1;
+    newer.started_ms = 2000;
+    newer.sequence = 1;
+    node.it.announce(start, newer);
+    auto older = newer;
+    older.instance = "i-1";
+    older.started_ms = 1000;
+    older.sequence = 90;
+    older.is_draining = true;
+    node.it.announce(start, older);
+    BOOST_TEST(node.it.instance() == "i-2");
+    BOOST_TEST((node.state == target_state::ready));
+    // Nor by a leave of the earlier life.
+    node.it.withdraw_target(start, "i-1");
+    BOOST_TEST((node.state == target_state::ready));
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_a_heartbeat_when_another_has_the_address) {
+    running_node node;
+    node.ask(1);
+    node.it.target_ended(start, node.started.back().execution,
+                         {target_end::other_instance, {}, false});
+    BOOST_TEST((node.replies.back().what == outcome::not_run));
+    BOOST_TEST((node.state == target_state::absent));
+}
+
+BOOST_AUTO_TEST_CASE(counts_a_silent_target_as_gone) {
+    running_node node;
+    node.it.tick(start + std::chrono::seconds(7));
+    BOOST_TEST((node.state == target_state::absent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
