--- a/source/io/include/redwingwind/io/http.hpp
+++ b/source/io/include/redwingwind/io/http.hpp
@@ -42,7 +42,7 @@
     std::uint64_t cut_off{};
 };
 
-/// libmicrohttpd on the reactor.
+/// A stream_server that hands out a function to answer with.
 class http_server {
   public:
     /// To be called once for each request, now or later.
@@ -63,7 +63,7 @@
     http_server& operator=(const http_server&) = delete;
 
     std::uint16_t port() const;
-    const http_server_counters& counters() const;
+    http_server_counters counters() const;
     /// Takes no new connections from now on.
     void quiesce();
 
--- a/source/io/include/redwingwind/io/stream_server.hpp
+++ b/source/io/include/redwingwind/io/stream_server.hpp
@@ -37,6 +37,8 @@
     std::uint64_t requests{};
     /// Closed or answered for a malformed, oversized or late request.
     std::uint64_t rejected{};
+    /// Of these, for the size of the header or the body.
+    std::uint64_t oversized{};
     /// Callers that left before their answer.
     std::uint64_t left{};
 };
@@ -73,6 +75,8 @@
     void respond(exchange_id exchange, const http_response& response);
 
     void set_limits(const stream_limits& limits);
+    /// Takes no new connections from now on.
+    void stop_accepting();
     /// From now on each answer closes its connection.
     void close_gradually();
 
--- a/source/io/src/http_client.cpp
+++ b/source/io/src/http_client.cpp
@@ -167,6 +167,7 @@
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, most_idle_seconds);
         const auto timeout =
@@ -180,6 +181,11 @@
         for (const auto& header : call.headers)
             it.headers = curl_slist_append(
                 it.headers, (header.name + ": " + header.value).c_str());
+        // libcurl would add these by itself.
+        for (const auto* name : {"Accept", "Content-Type"})
+            if (find_header(call.headers, name).empty())
+                it.headers = curl_slist_append(
+                    it.headers, (std::string(name) + ":").c_str());
         // Without this libcurl waits for "100 Continue" on larger bodies.
         it.headers = curl_slist_append(it.headers, "Expect:");
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, it.headers);
--- a/source/io/src/stream_server.cpp
+++ b/source/io/src/stream_server.cpp
@@ -94,6 +94,10 @@
 
     void set_limits(const stream_limits& limits) { limits_ = limits; }
     void close_gradually() { is_closing_ = true; }
+    void stop_accepting() {
+        accept_watch_.reset();
+        acceptor_.close();
+    }
 
     std::uint16_t port() const {
         ACE_INET_Addr where;
@@ -220,6 +224,7 @@
             hand_over(it);
             return;
         default:
+            counters.oversized += state == http1_state::malformed ? 0 : 1;
             reject(it, status_of(state));
         }
     }
@@ -370,6 +375,10 @@
     impl_->set_limits(limits);
 }
 
+void stream_server::stop_accepting() {
+    impl_->stop_accepting();
+}
+
 void stream_server::close_gradually() {
     impl_->close_gradually();
 }
--- a/source/io/test/http_test.cpp
+++ b/source/io/test/http_test.cpp
@@ -179,6 +179,20 @@
     BOOST_TEST(call(url, "wait", true).response.body == "later");
 }
 
+BOOST_AUTO_TEST_CASE(gets_what_the_client_was_given_and_no_more) {
+    http_request seen;
+    http_server server(loop, {}, [&](const http_server::exchange& e) {
+        seen = e.request;
+        e.respond({200, {}, ""});
+    });
+    const auto url = "http://127.0.0.1:" + std::to_string(server.port()) +
+                     "/catalogue/a%2Fb%20c/../d?x=%26y";
+    call(url, "body", true);
+    BOOST_TEST(seen.target == "/catalogue/a%2Fb%20c/../d?x=%26y");
+    BOOST_TEST(find_header(seen.headers, "accept").empty());
+    BOOST_TEST(find_header(seen.headers, "content-type").empty());
+}
+
 BOOST_AUTO_TEST_CASE(refuses_a_body_over_the_limit) {
     http_server_options options;
     options.most_body_bytes = 1000;
