--- a/source/common/src/settings.cpp
+++ b/source/common/src/settings.cpp
@@ -102,8 +102,7 @@
     old.push_back({flag, flag->CurrentValue()});
     std::string why;
     if (!flag->ParseFrom(line.substr(equals + 1), &why))
-        return make_error(error_code::bad_input,
-                          absl::StrCat(line, ": ", why));
+        return make_error(error_code::bad_input, absl::StrCat(line, ": ", why));
     return absl::OkStatus();
 }
 
--- a/source/io/include/redwingwind/io/http.hpp
+++ b/source/io/include/redwingwind/io/http.hpp
@@ -57,7 +57,8 @@
     using handler = std::function<void(exchange)>;
 
     /// Throws std::runtime_error when the address can't be bound.
-    http_server(reactor& loop, http_server_options options, handler on_request);
+    http_server(reactor& loop, const http_server_options& options,
+                handler on_request);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/source/io/src/http_server.cpp
+++ b/source/io/src/http_server.cpp
@@ -59,7 +59,7 @@
     stream_server server_;
 };
 
-http_server::http_server(reactor& loop, http_server_options options,
+http_server::http_server(reactor& loop, const http_server_options& options,
                          handler on_request)
     : impl_(std::make_unique<impl>(loop, options, std::move(on_request))) {}
 
--- a/source/io/src/stream_server.cpp
+++ b/source/io/src/stream_server.cpp
@@ -152,7 +152,7 @@
         }
     }
 
-    void add(ACE_SOCK_Stream stream, const ACE_INET_Addr& from) {
+    void add(const ACE_SOCK_Stream& stream, const ACE_INET_Addr& from) {
         ++counters.accepted;
         auto added = std::make_unique<connection>(limits_.message);
         auto& it = *added;
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -88,7 +88,7 @@
 struct kept_server {
     explicit kept_server(reactor& loop, stream_limits limits = {})
         : it(loop, {}, limits,
-             {[this](stream_server::arrival a) {
+             {[this](const stream_server::arrival& a) {
                   asked.push_back(a);
                   if (answers)
                       it.respond(a.exchange, {200, {}, "ok"});
--- a/source/node/src/platform_agent.cpp
+++ b/source/node/src/platform_agent.cpp
@@ -77,8 +77,8 @@
 
 void platform_agent::watch_config() {
     ++counters_.calls;
-    const auto wait = hooks_.is_holder() ? options_.holder_watch_time
-                                         : options_.watch_time;
+    const auto wait =
+        hooks_.is_holder() ? options_.holder_watch_time : options_.watch_time;
     watch_ = store_.watch(config_key.kind, revision_, wait,
                           [this](const absl::StatusOr<object_list>& seen) {
                               watch_ = 0;
@@ -159,11 +159,12 @@
     nlohmann::json told;
     told["meet"] = coordination::to_string(self_);
     ++counters_.calls;
-    store_.create(own_key(), told.dump(), [this](absl::StatusOr<object> made) {
-        // Listed by an earlier life of this node is as good.
-        is_listed_ =
-            made.ok() || code_of(made.status()) == error_code::conflict;
-    });
+    store_.create(own_key(), told.dump(),
+                  [this](const absl::StatusOr<object>& made) {
+                      // Listed by an earlier life of this node is as good.
+                      is_listed_ = made.ok() || code_of(made.status()) ==
+                                                    error_code::conflict;
+                  });
 }
 
 void platform_agent::leave() {
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -203,7 +203,8 @@
         if (record != nullptr)
             links_->send(*record, cancel);
     };
-    h.answer = [this](relay::exchange_id exchange, relay::call_answer answer) {
+    h.answer = [this](relay::exchange_id exchange,
+                      const relay::call_answer& answer) {
         outbound_->respond(exchange, platform_adapter::encode_answer(answer));
     };
     h.on_event = [this](const relay::call_event& event) {
--- a/source/overload/src/call_attribution.cpp
+++ b/source/overload/src/call_attribution.cpp
@@ -56,8 +56,8 @@
             error -= it.per_run[route] * of.deviation();
         for (const auto& [route, of] : runs_) {
             auto& weight = it.per_run[route];
-            weight = std::max(0.0,
-                              weight + step * error * of.deviation() / power);
+            weight =
+                std::max(0.0, weight + step * error * of.deviation() / power);
         }
     }
 }
--- a/source/overload/src/target_gate.cpp
+++ b/source/overload/src/target_gate.cpp
@@ -90,13 +90,13 @@
 }
 
 std::size_t target_gate::next_to_start() const {
-    const bool has_room = static_cast<double>(direct_running_) <
-                          options_.direct_share * limit();
+    const bool has_room =
+        static_cast<double>(direct_running_) < options_.direct_share * limit();
     if (!has_room || !waiting_.front().call.is_nested)
         return 0;
-    const auto direct = std::find_if(
-        waiting_.begin(), waiting_.end(),
-        [](const auto& it) { return !it.call.is_nested; });
+    const auto direct =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [](const auto& it) { return !it.call.is_nested; });
     return direct == waiting_.end()
                ? 0
                : static_cast<std::size_t>(direct - waiting_.begin());
@@ -104,8 +104,8 @@
 
 void target_gate::fill(gate_steps& steps) {
     while (!waiting_.empty() && running_.size() < limit()) {
-        const auto at = waiting_.begin() +
-                        static_cast<std::ptrdiff_t>(next_to_start());
+        const auto at =
+            waiting_.begin() + static_cast<std::ptrdiff_t>(next_to_start());
         begin(at->call, steps);
         waiting_.erase(at);
     }
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -205,8 +205,7 @@
         failed(now, *it, reply.why);
         return;
     }
-    finish(now, *it,
-           {outcome::done, reply.why, std::move(reply.response), {}});
+    finish(now, *it, {outcome::done, reply.why, std::move(reply.response), {}});
 }
 
 void sender::note_strains(time_point now, const open_call& it,
@@ -263,9 +262,9 @@
     it.may_have_run = true;
     it.refused_for = why;
     // What failed for want of room below would fail again.
-    const bool is_strained = why == error_code::target_failed &&
-                             roots_.strain_below(now, it.route) >
-                                 options_.roots.threshold;
+    const bool is_strained =
+        why == error_code::target_failed &&
+        roots_.strain_below(now, it.route) > options_.roots.threshold;
     if (!it.is_idempotent || it.attempts >= it.most_attempts || is_strained ||
         !repeats_of(it.service).take(now, live_nodes_)) {
         give_up(now, it);
