io: a write to a connection that its peer closed no longer ends the process

Cause: nothing ignored SIGPIPE. libmicrohttpd had done so as a side effect until it was removed, and only while its daemon ran; curl leaves signals alone (CURLOPT_NOSIGNAL).

Ruled out: repetition of orders that have a ticket.

Change: the event loop ignores SIGPIPE.

Figures: new test an_event_loop/turns_a_write... before: killed by SIGPIPE; after: passes.

--- a/source/integration/test/processes.cpp
+++ b/source/integration/test/processes.cpp
@@ -289,7 +289,11 @@
         nlohmann::json::parse(answer.response.body, nullptr, false);
     // Without one the order would go out as a request that may repeat.
     if (!json.is_object())
-        throw std::runtime_error("no ticket from node " + std::to_string(n));
+        throw std::runtime_error(
+            "no ticket from node " + std::to_string(n) + ": status " +
+            std::to_string(answer.response.status) + ", failure " +
+            std::to_string(static_cast<int>(answer.failure)) +
+            (places_[n]->node->is_running() ? "" : ", the node has ended"));
     return json["tickets"][0].get<std::string>();
 }
 
--- a/source/io/src/reactor.cpp
+++ b/source/io/src/reactor.cpp
@@ -41,6 +41,9 @@
     reactor_impl()
         : poll_(ace_descriptors, true, &signals_), ace_(&poll_, false),
           set_(::epoll_create1(EPOLL_CLOEXEC)) {
+        // A write to a connection that its peer closed fails with EPIPE; it
+        // must not end the process.
+        std::signal(SIGPIPE, SIG_IGN);
         if (set_ < 0 || !poll_.initialized())
             throw std::runtime_error("no descriptors for the event loop");
         ace_.register_handler(this, READ_MASK);
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <csignal>
 #include <optional>
 #include <string>
 #include <vector>
@@ -214,6 +216,21 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(an_event_loop)
+
+BOOST_AUTO_TEST_CASE(turns_a_write_to_a_closed_connection_into_an_error) {
+    std::signal(SIGPIPE, SIG_DFL);
+    const reactor loop;
+    int ends[2] = {-1, -1};
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+    close(ends[1]);
+    BOOST_TEST(write(ends[0], "x", 1) == -1);
+    BOOST_TEST(errno == EPIPE);
+    close(ends[0]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_server)
 
 BOOST_AUTO_TEST_CASE(hands_over_the_target_and_the_headers_as_they_came) {
