platform, stand-in: one client of the store, and a stand-in that speaks the platform's objects

Cause: two clients of a store stood side by side: our first guess of an object API (source/platform) and the platform's own.

Change: source/platform is gone. platform/ keeps the product's texts in kinds of its own (redwingwind-graphs, -seeds, -usage), byte for byte in one field; create and replace with revisions, lists page by page, where the operator's configuration lies. stand-in-platform serves objects, conditions, pages, watches, lost history and refusals. Nodes that are not holders watch with reads that may lag and leave a silent watch to its end: a change reaches them from the holders.

--- a/source/ctl/src/store_session.cpp
+++ b/source/ctl/src/store_session.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr auto turn = std::chrono::milliseconds(100);
+constexpr duration store_timeout = std::chrono::seconds(2);
 constexpr long idle_connections = 2;
 
 } // namespace
@@ -16,11 +17,11 @@
 store_session::store_session(const std::string& store_url, std::string node_url)
     : loop_(std::make_unique<io::reactor>()),
       client_(std::make_unique<io::http_client>(*loop_, idle_connections)),
-      store_(platform::connect_store(*client_,
-                                     {store_url, std::chrono::seconds(2)})),
+      store_(platform_adapter::connect_store(platform_adapter::object_client(
+          *client_, {store_url, store_timeout}))),
       run_once_([] {}), node_url_(std::move(node_url)) {}
 
-store_session::store_session(platform::object_store store,
+store_session::store_session(platform_adapter::object_store store,
                              std::function<void()> run_once)
     : store_(std::move(store)), run_once_(std::move(run_once)) {}
 
@@ -38,9 +39,9 @@
     return **result;
 }
 
-absl::StatusOr<platform::stored_object>
+absl::StatusOr<platform_adapter::stored_object>
 store_session::get(const std::string& key) {
-    return wait_for<platform::stored_object>(
+    return wait_for<platform_adapter::stored_object>(
         [&](auto done) { store_.get(key, done); });
 }
 
@@ -51,9 +52,9 @@
         [&](auto done) { store_.put(key, value, over_version, done); });
 }
 
-absl::StatusOr<platform::listing>
+absl::StatusOr<platform_adapter::listing>
 store_session::list(const std::string& prefix) {
-    return wait_for<platform::listing>(
+    return wait_for<platform_adapter::listing>(
         [&](auto done) { store_.list(prefix, done); });
 }
 
--- a/source/ctl/src/store_session.hpp
+++ b/source/ctl/src/store_session.hpp
@@ -2,7 +2,7 @@
 
 #include <redwingwind/io/http.hpp>
 #include <redwingwind/io/reactor.hpp>
-#include <redwingwind/platform/object_store.hpp>
+#include <redwingwind/platform_adapter/object_store.hpp>
 
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
@@ -20,13 +20,14 @@
     store_session(const std::string& store_url, std::string node_url);
 
     /// For tests: any store, driven by run_once.
-    store_session(platform::object_store store, std::function<void()> run_once);
+    store_session(platform_adapter::object_store store,
+                  std::function<void()> run_once);
 
-    absl::StatusOr<platform::stored_object> get(const std::string& key);
+    absl::StatusOr<platform_adapter::stored_object> get(const std::string& key);
     absl::StatusOr<std::uint64_t> put(const std::string& key,
                                       const std::string& value,
                                       std::uint64_t over_version);
-    absl::StatusOr<platform::listing> list(const std::string& prefix);
+    absl::StatusOr<platform_adapter::listing> list(const std::string& prefix);
 
     /// Errors: store_unavailable when the node does not answer, bad_input
     /// with its words when it refuses.
@@ -39,7 +40,7 @@
 
     std::unique_ptr<io::reactor> loop_;
     std::unique_ptr<io::http_client> client_;
-    platform::object_store store_;
+    platform_adapter::object_store store_;
     std::function<void()> run_once_;
     std::string node_url_;
 };
--- a/source/ctl/test/apply_test.cpp
+++ b/source/ctl/test/apply_test.cpp
@@ -16,14 +16,14 @@
 struct fake_store {
     enum class fault { none, answer_lost, not_applied };
 
-    std::map<std::string, platform::stored_object> objects;
+    std::map<std::string, platform_adapter::stored_object> objects;
     fault next_write{fault::none};
     /// Runs just before the next write: another operator.
     std::function<void()> before_write;
     int writes{};
 
-    platform::object_store hooks() {
-        platform::object_store store;
+    platform_adapter::object_store hooks() {
+        platform_adapter::object_store store;
         store.get = [this](const std::string& key, const auto& done) {
             const auto it = objects.find(key);
             if (it == objects.end())
@@ -42,7 +42,7 @@
 
     void write(const std::string& key, const std::string& value,
                std::uint64_t over,
-               const platform::object_store::version_callback& done) {
+               const platform_adapter::object_store::version_callback& done) {
         const auto failure = std::exchange(next_write, fault::none);
         const auto no_answer =
             make_error(error_code::store_unavailable, "no answer");
--- a/source/integration/test/operator_test.cpp
+++ b/source/integration/test/operator_test.cpp
@@ -132,10 +132,11 @@
     }
     BOOST_TEST(http.wait_until(
         [&] {
-            const auto all = http.get_json(store_url + "/list?prefix=usage/");
+            const auto all =
+                http.get_json(store_url + "/objects/redwingwind-usage");
             std::set<std::string> owners;
-            for (const auto& it : all["objects"]) {
-                const auto text = it["value"].get<std::string>();
+            for (const auto& it : all["items"]) {
+                const auto text = it["spec"]["text"].get<std::string>();
                 for (const auto* owner : {"ayse", "wanjiru"})
                     if (text.find(owner) != std::string::npos)
                         owners.insert(owner);
--- a/source/node/src/node_daemon.cpp
+++ b/source/node/src/node_daemon.cpp
@@ -2,7 +2,7 @@
 
 #include <redwingwind/common/hash.hpp>
 #include <redwingwind/common/log.hpp>
-#include <redwingwind/platform/object_store.hpp>
+#include <redwingwind/platform_adapter/object_store.hpp>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -30,6 +30,7 @@
 constexpr auto least_timer = std::chrono::milliseconds(1);
 constexpr auto stop_poll = std::chrono::milliseconds(20);
 constexpr std::size_t most_tickets_per_request = 1000;
+constexpr duration store_timeout = std::chrono::seconds(2);
 constexpr auto ticket_path = "/rww/tickets";
 
 engine::raw_call raw_call_of(http_request& request, bool is_local) {
@@ -148,8 +149,8 @@
     if (!settings_.store_url.empty()) {
         agent_ = std::make_unique<store_agent>(
             settings_.store,
-            platform::connect_store(
-                *store_client_, {settings_.store_url, std::chrono::seconds(2)}),
+            platform_adapter::connect_store(platform_adapter::object_client(
+                *store_client_, {settings_.store_url, store_timeout})),
             *core_, agent_hooks());
         agent_->start();
     }
--- a/source/node/src/platform_agent.cpp
+++ b/source/node/src/platform_agent.cpp
@@ -9,14 +9,14 @@
 
 namespace redwingwind::node {
 
+using platform_adapter::freshness;
 using platform_adapter::object;
 using platform_adapter::object_key;
 using platform_adapter::object_list;
+using platform_adapter::operator_configuration;
 
 namespace {
 
-/// Where the platform keeps the operator's configuration.
-const object_key config_key{"config", "main"};
 /// The product's own kind of object: nodes that others may meet first.
 constexpr const char* meeting_kind = "redwingwind-nodes";
 constexpr std::uint32_t most_doublings = 5;
@@ -59,7 +59,7 @@
 
 void platform_agent::read_config() {
     ++counters_.calls;
-    store_.get(config_key, [this](absl::StatusOr<object> read) {
+    store_.get(operator_configuration(), [this](absl::StatusOr<object> read) {
         if (!read.ok()) {
             // The operator may not have written the first one yet.
             if (code_of(read.status()) != error_code::not_found)
@@ -77,9 +77,13 @@
 
 void platform_agent::watch_config() {
     ++counters_.calls;
+    // The others hear of a change from the holders; their own watch is for
+    // the time when none of these reaches them.
+    const bool is_holder = hooks_.is_holder();
     const auto wait =
-        hooks_.is_holder() ? options_.holder_watch_time : options_.watch_time;
-    watch_ = store_.watch(config_key.kind, revision_, wait,
+        is_holder ? options_.holder_watch_time : options_.watch_time;
+    const auto fresh = is_holder ? freshness::latest : freshness::may_lag;
+    watch_ = store_.watch(operator_configuration().kind, revision_, wait, fresh,
                           [this](const absl::StatusOr<object_list>& seen) {
                               watch_ = 0;
                               on_watched(seen);
@@ -95,7 +99,7 @@
     succeeded();
     revision_ = std::max(revision_, seen->at);
     for (const auto& it : seen->objects) {
-        if (it.key != config_key || it.is_deleted)
+        if (it.key != operator_configuration() || it.is_deleted)
             continue;
         ++changes_seen_;
         hooks_.on_config(it.content);
@@ -104,6 +108,8 @@
 }
 
 void platform_agent::told_elsewhere() {
+    if (!hooks_.is_holder())
+        return;
     hooks_.after(options_.watch_lag, [this, before = changes_seen_] {
         if (changes_seen_ != before || watch_ == 0)
             return;
@@ -126,28 +132,30 @@
         return;
     }
     ++counters_.calls;
-    store_.list(meeting_kind, [this](absl::StatusOr<object_list> seen) {
-        auto next = options_.lonely_interval;
-        if (seen.ok()) {
-            for (const auto& it : seen->objects) {
-                const auto told =
-                    nlohmann::json::parse(it.content, nullptr, false);
-                if (!told.is_object() || !told.contains("meet") ||
-                    !told["meet"].is_string())
-                    continue;
-                const auto where = coordination::parse_address(
-                    told["meet"].get<std::string>());
-                if (where.port != 0 && where != self_)
-                    hooks_.on_contact(where);
+    store_.list(
+        meeting_kind, freshness::may_lag,
+        [this](absl::StatusOr<object_list> seen) {
+            auto next = options_.lonely_interval;
+            if (seen.ok()) {
+                for (const auto& it : seen->objects) {
+                    const auto told =
+                        nlohmann::json::parse(it.content, nullptr, false);
+                    if (!told.is_object() || !told.contains("meet") ||
+                        !told["meet"].is_string())
+                        continue;
+                    const auto where = coordination::parse_address(
+                        told["meet"].get<std::string>());
+                    if (where.port != 0 && where != self_)
+                        hooks_.on_contact(where);
+                }
+                list_self(seen->objects.size());
+            } else if (code_of(seen.status()) == error_code::not_found) {
+                list_self(0);
+            } else {
+                next = std::max(next, pause());
             }
-            list_self(seen->objects.size());
-        } else if (code_of(seen.status()) == error_code::not_found) {
-            list_self(0);
-        } else {
-            next = std::max(next, pause());
-        }
-        hooks_.after(next, [this] { find_peers(); });
-    });
+            hooks_.after(next, [this] { find_peers(); });
+        });
 }
 
 void platform_agent::list_self(std::size_t listed) {
--- a/source/node/src/platform_agent.hpp
+++ b/source/node/src/platform_agent.hpp
@@ -11,7 +11,8 @@
 namespace redwingwind::node {
 
 struct platform_agent_options {
-    std::string store_address;
+    /// "http://IP:PORT".
+    std::string store_url;
     /// Watches of the nodes that tell the others: short, so that one whose
     /// connection went silent is replaced well before a change must be in
     /// force.
@@ -20,8 +21,8 @@
     duration watch_time{std::chrono::seconds(6)};
     /// Nodes of a failure domain that tell the others.
     std::size_t holders{2};
-    /// A watch that did not tell of a change this long after another node
-    /// did is replaced.
+    /// A holder's watch that did not tell of a change this long after another
+    /// node did is replaced.
     duration watch_lag{std::chrono::milliseconds(500)};
     duration least_pause{std::chrono::milliseconds(100)};
     duration most_pause{std::chrono::seconds(2)};
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -84,7 +84,7 @@
         settings_.agent,
         platform_adapter::object_client(
             *store_client_,
-            {settings_.agent.store_address, std::chrono::milliseconds(1500)}),
+            {settings_.agent.store_url, std::chrono::milliseconds(1500)}),
         settings_.self.where, agent_hooks());
     agent_->start();
     loop_.on_stop_signal([this] { begin_stop(); });
--- a/source/node/src/relay_settings.cpp
+++ b/source/node/src/relay_settings.cpp
@@ -155,7 +155,8 @@
         return bad("platform_store", "IP:PORT");
     read_self(settings);
     read_limits(settings);
-    settings.agent.store_address = absl::GetFlag(FLAGS_platform_store);
+    settings.agent.store_url =
+        absl::StrCat("http://", absl::GetFlag(FLAGS_platform_store));
     const auto bounds =
         platform_adapter::decode_bounds(absl::GetFlag(FLAGS_bounds));
     if (!bounds.ok())
--- a/source/node/src/store_agent.cpp
+++ b/source/node/src/store_agent.cpp
@@ -12,8 +12,8 @@
 namespace redwingwind::node {
 namespace {
 
-using platform::listing;
-using platform::stored_object;
+using platform_adapter::listing;
+using platform_adapter::stored_object;
 
 constexpr auto seed_prefix = "seeds/";
 constexpr auto graph_prefix = "graphs/";
@@ -33,8 +33,8 @@
 }
 
 store_agent::store_agent(store_agent_options options,
-                         platform::object_store store, engine::node_core& core,
-                         hooks h)
+                         platform_adapter::object_store store,
+                         engine::node_core& core, hooks h)
     : options_(options), store_(std::move(store)), core_(core),
       hooks_(std::move(h)) {}
 
--- a/source/node/src/store_agent.hpp
+++ b/source/node/src/store_agent.hpp
@@ -2,7 +2,7 @@
 
 #include <redwingwind/common/time.hpp>
 #include <redwingwind/engine/node_core.hpp>
-#include <redwingwind/platform/object_store.hpp>
+#include <redwingwind/platform_adapter/object_store.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -44,8 +44,9 @@
             on_failure;
     };
 
-    store_agent(store_agent_options options, platform::object_store store,
-                engine::node_core& core, hooks h);
+    store_agent(store_agent_options options,
+                platform_adapter::object_store store, engine::node_core& core,
+                hooks h);
 
     void start();
     /// Writes what usage is known, for a planned stop; then calls back.
@@ -67,7 +68,7 @@
     };
 
     void find_peers();
-    void on_seeds(const platform::listing& seeds);
+    void on_seeds(const platform_adapter::listing& seeds);
     void look_for_duties();
     bool has_duty(const std::string& duty, std::size_t holders,
                   std::size_t* place = nullptr) const;
@@ -75,14 +76,14 @@
     void write_seed(const std::string& key, std::uint64_t over_version);
     void list_graphs();
     void watch_graphs();
-    void on_graphs(const platform::listing& graphs);
+    void on_graphs(const platform_adapter::listing& graphs);
     void write_usage(std::function<void()> done);
     void put_usage(const std::string& key, const std::string& old_text,
                    std::uint64_t version, std::function<void()> done);
     void fail(const std::string& what, const absl::Status& status);
 
     store_agent_options options_;
-    platform::object_store store_;
+    platform_adapter::object_store store_;
     engine::node_core& core_;
     hooks hooks_;
     backoff peers_backoff_;
--- a/source/stand_in/src/platform_main.cpp
+++ b/source/stand_in/src/platform_main.cpp
@@ -1,25 +1,61 @@
-// A stand-in for the platform's object API: versions, conditional updates,
-// lists and watches, in memory, with faults that /control switches on.
+// A stand-in for the platform's store: objects by kind and name with
+// revisions, conditions, pages and watches, in memory, with faults that
+// /control switches on.
 
 #include "main_support.hpp"
 
 #include <absl/flags/flag.h>
+#include <absl/strings/numbers.h>
 
 #include <cstdlib>
 #include <exception>
 #include <map>
+#include <optional>
+#include <vector>
 
 ABSL_FLAG(std::int64_t, port, 0, "Port; 0 takes any and prints it");
 
 namespace redwingwind::stand_in {
 namespace {
 
-constexpr std::size_t most_value_bytes = 1U << 20U;
+using nlohmann::json;
+using exchange_t = io::http_server::exchange;
 
-struct object {
-    std::uint64_t version{};
+constexpr std::size_t most_object_bytes = 1U << 20U;
+constexpr std::size_t objects_per_page = 500;
+constexpr std::string_view root = "/objects/";
+
+struct object_path {
+    std::string kind;
+    /// Empty for all of the kind.
+    std::string name;
+    bool is_status{};
+};
+
+std::optional<object_path> path_of(const std::string& target) {
+    const auto path = io::path_of(target);
+    if (!path.starts_with(root))
+        return std::nullopt;
+    object_path it;
+    const auto rest = path.substr(root.size());
+    const auto slash = rest.find('/');
+    it.kind = rest.substr(0, slash);
+    if (slash == std::string::npos)
+        return it;
+    it.name = rest.substr(slash + 1);
+    constexpr std::string_view status = "/status";
+    if (it.name.ends_with(status)) {
+        it.is_status = true;
+        it.name.resize(it.name.size() - status.size());
+    }
+    return it;
+}
+
+struct change {
     std::uint64_t revision{};
-    std::string value;
+    std::string kind;
+    json object;
+    bool is_deleted{};
 };
 
 struct faults {
@@ -28,38 +64,35 @@
     bool outage{};
     /// Applies writes, but their answers are lost.
     bool lose_answers{};
-};
-
-struct counters {
-    std::uint64_t reads{};
-    std::uint64_t writes{};
-    std::uint64_t watches{};
-    std::uint64_t conflicts{};
+    /// Answers 503 and applies nothing.
+    bool refuse{};
 };
 
 struct watcher {
-    std::string prefix;
+    std::string kind;
     std::uint64_t since{};
     io::http_server::responder respond;
 };
 
+std::uint64_t number_of(const std::string& target, const std::string& name) {
+    std::uint64_t n = 0;
+    if (!absl::SimpleAtoi(io::query_parameter(target, name), &n))
+        return 0;
+    return n;
+}
+
 class platform {
   public:
     explicit platform(io::reactor& loop) : loop_(loop) {}
 
-    void handle(io::http_server::exchange exchange) {
+    void handle(exchange_t exchange) {
         const auto path = io::path_of(exchange.request.target);
         if (path == "/control") {
             control(exchange);
             return;
         }
         if (path == "/counters") {
-            exchange.respond(io::json_response(
-                200, nlohmann::json{{"reads", counters_.reads},
-                                    {"writes", counters_.writes},
-                                    {"watches", counters_.watches},
-                                    {"conflicts", counters_.conflicts}}
-                         .dump()));
+            exchange.respond(io::json_response(200, counters_.dump()));
             return;
         }
         const auto delay = std::chrono::milliseconds(faults_.delay_ms);
@@ -67,150 +100,214 @@
             serve(exchange);
             return;
         }
-        auto later =
-            std::make_shared<io::http_server::exchange>(std::move(exchange));
+        auto later = std::make_shared<exchange_t>(std::move(exchange));
         loop_.after(delay, [this, later] { serve(*later); });
     }
 
   private:
-    void control(const io::http_server::exchange& exchange) {
-        const auto json = body_of(exchange.request);
-        faults_.delay_ms = json.value("delay_ms", faults_.delay_ms);
-        faults_.outage = json.value("outage", faults_.outage);
-        faults_.lose_answers = json.value("lose_answers", faults_.lose_answers);
+    void count(const char* what) {
+        counters_[what] = counters_.value(what, 0) + 1;
+    }
+
+    void control(const exchange_t& exchange) {
+        const auto told = body_of(exchange.request);
+        faults_.delay_ms = told.value("delay_ms", faults_.delay_ms);
+        faults_.outage = told.value("outage", faults_.outage);
+        faults_.lose_answers = told.value("lose_answers", faults_.lose_answers);
+        faults_.refuse = told.value("refuse", faults_.refuse);
+        if (told.value("forget", false)) {
+            forgotten_ = revision_;
+            history_.clear();
+        }
         exchange.respond(io::json_response(200, "{}"));
     }
 
-    void serve(const io::http_server::exchange& exchange) {
+    void serve(const exchange_t& exchange) {
         if (faults_.outage)
             return; // The caller's timeout ends it.
-        const auto& request = exchange.request;
-        const auto path = io::path_of(request.target);
-        if (path.starts_with("/objects/"))
-            serve_object(exchange, path.substr(sizeof("/objects/") - 1));
-        else if (path == "/list")
-            list(exchange);
-        else if (path == "/watch")
-            watch(exchange);
-        else
-            exchange.respond({404, {}, "no such path\n"});
-    }
-
-    void serve_object(const io::http_server::exchange& exchange,
-                      const std::string& key) {
-        if (exchange.request.method == "PUT") {
-            put(exchange, key);
+        if (faults_.refuse) {
+            exchange.respond({503, {}, ""});
             return;
         }
-        ++counters_.reads;
-        const auto it = objects_.find(key);
-        if (it == objects_.end())
-            exchange.respond({404, {}, "no such object\n"});
-        else
-            exchange.respond(
-                io::json_response(200, to_json(key, it->second).dump()));
-    }
-
-    void put(const io::http_server::exchange& exchange,
-             const std::string& key) {
-        ++counters_.writes;
         const auto& request = exchange.request;
-        if (request.body.size() > most_value_bytes) {
-            exchange.respond({413, {}, "larger than a megabyte\n"});
+        const auto where = path_of(request.target);
+        if (!where) {
+            exchange.respond({404, {}, "no such path\n"});
             return;
         }
-        const auto over = std::strtoull(
-            io::find_header(request.headers, "If-Version").c_str(), nullptr,
-            10);
-        auto& it = objects_[key];
-        if (it.version != over) {
-            ++counters_.conflicts;
-            if (it.version == 0)
-                objects_.erase(key);
-            exchange.respond({409, {}, "the version has changed\n"});
-            return;
+        if (request.method != "GET") {
+            count("writes");
+            const auto answer = write(request, *where);
+            if (!faults_.lose_answers)
+                exchange.respond(answer);
+        } else if (!where->name.empty()) {
+            count("reads");
+            exchange.respond(read(*where));
+        } else if (!io::query_parameter(request.target, "watch").empty()) {
+            count("watches");
+            watch(exchange, where->kind);
+        } else {
+            count("reads");
+            exchange.respond(list(request, where->kind));
         }
-        ++it.version;
-        it.revision = ++revision_;
-        it.value = request.body;
-        const auto version = it.version;
-        tell_watchers(key);
-        if (!faults_.lose_answers)
-            exchange.respond(io::json_response(
-                200, nlohmann::json{{"version", version}}.dump()));
     }
 
-    void list(const io::http_server::exchange& exchange) {
-        ++counters_.reads;
-        const auto prefix =
-            io::query_parameter(exchange.request.target, "prefix");
-        exchange.respond(changes(prefix, 0));
+    http_response read(const object_path& where) const {
+        const auto kind = objects_.find(where.kind);
+        if (kind == objects_.end() || !kind->second.contains(where.name))
+            return {404, {}, ""};
+        return io::json_response(200, kind->second.at(where.name).dump());
     }
 
-    void watch(const io::http_server::exchange& exchange) {
-        ++counters_.watches;
-        const auto& target = exchange.request.target;
-        const auto prefix = io::query_parameter(target, "prefix");
-        const auto since = std::strtoull(
-            io::query_parameter(target, "since").c_str(), nullptr, 10);
-        const auto wait_ms = std::strtoll(
-            io::query_parameter(target, "wait_ms").c_str(), nullptr, 10);
-        if (has_changes(prefix, since)) {
-            exchange.respond(changes(prefix, since));
-            return;
+    http_response list(const http_request& request,
+                       const std::string& kind) const {
+        const auto after = io::query_parameter(request.target, "after");
+        auto items = json::array();
+        bool has_more = false;
+        if (const auto of = objects_.find(kind); of != objects_.end())
+            for (auto it = of->second.upper_bound(after);
+                 it != of->second.end(); ++it) {
+                has_more = items.size() == objects_per_page;
+                if (has_more)
+                    break;
+                items.push_back(it->second);
+            }
+        const json answer{
+            {"items", items}, {"has_more", has_more}, {"at", revision_}};
+        return io::json_response(200, answer.dump());
+    }
+
+    http_response write(const http_request& request, const object_path& where) {
+        if (request.body.size() > most_object_bytes)
+            return {413, {}, ""};
+        const auto told = body_of(request);
+        const auto about = told.value("metadata", json::object());
+        if (request.method == "POST")
+            return create(where.kind, told, about.value("name", ""));
+        auto& of = objects_[where.kind];
+        const auto found = of.find(where.name);
+        if (found == of.end())
+            return {404, {}, ""};
+        const auto over = request.method == "DELETE"
+                              ? number_of(request.target, "revision")
+                              : about.value("revision", std::uint64_t{0});
+        if (over != 0 && found->second["metadata"]["revision"] != over) {
+            count("conflicts");
+            return io::json_response(409, found->second.dump());
         }
-        const auto id = next_watcher_++;
-        watchers_[id] = {prefix, since, exchange.respond};
-        loop_.after(std::chrono::milliseconds(wait_ms), [this, id] {
-            const auto found = watchers_.find(id);
-            if (found == watchers_.end())
-                return;
-            const auto waiting = std::move(found->second);
-            watchers_.erase(found);
-            if (!faults_.outage)
-                waiting.respond(changes(waiting.prefix, waiting.since));
-        });
+        if (request.method == "DELETE")
+            return remove(where);
+        auto changed = found->second;
+        const char* field = where.is_status ? "status" : "spec";
+        changed[field] = told.value(field, json::object());
+        if (about.contains("finalizers"))
+            changed["metadata"]["finalizers"] = about["finalizers"];
+        if (changed != found->second)
+            store(where.kind, where.name, std::move(changed));
+        return io::json_response(200, found->second.dump());
+    }
+
+    http_response create(const std::string& kind, const json& told,
+                         const std::string& name) {
+        if (name.empty())
+            return {400, {}, "metadata lacks a name\n"};
+        if (objects_[kind].contains(name)) {
+            count("conflicts");
+            return io::json_response(409, objects_[kind][name].dump());
+        }
+        json made;
+        made["metadata"] = {{"name", name},
+                            {"created", revision_ + 1},
+                            {"finalizers", json::array()},
+                            {"deleting", false}};
+        made["spec"] = told.value("spec", json::object());
+        made["status"] = json::object();
+        store(kind, name, std::move(made));
+        return io::json_response(201, objects_[kind][name].dump());
+    }
+
+    http_response remove(const object_path& where) {
+        auto& it = objects_[where.kind][where.name];
+        if (!it["metadata"]["finalizers"].empty()) {
+            auto marked = it;
+            marked["metadata"]["deleting"] = true;
+            store(where.kind, where.name, std::move(marked));
+            return io::json_response(200, it.dump());
+        }
+        const auto gone = it;
+        objects_[where.kind].erase(where.name);
+        note(where.kind, gone, true);
+        return io::json_response(200, gone.dump());
+    }
+
+    void store(const std::string& kind, const std::string& name, json object) {
+        object["metadata"]["revision"] = revision_ + 1;
+        objects_[kind][name] = object;
+        note(kind, object, false);
     }
 
-    void tell_watchers(const std::string& key) {
+    void note(const std::string& kind, const json& object, bool is_deleted) {
+        history_.push_back({++revision_, kind, object, is_deleted});
         for (auto it = watchers_.begin(); it != watchers_.end();) {
-            if (!key.starts_with(it->second.prefix)) {
+            if (it->second.kind != kind) {
                 ++it;
                 continue;
             }
             const auto waiting = std::move(it->second);
             it = watchers_.erase(it);
-            waiting.respond(changes(waiting.prefix, waiting.since));
+            waiting.respond(events(waiting.kind, waiting.since));
         }
     }
 
-    bool has_changes(const std::string& prefix, std::uint64_t since) const {
-        for (const auto& [key, it] : objects_)
-            if (key.starts_with(prefix) && it.revision > since)
-                return true;
-        return false;
+    void watch(const exchange_t& exchange, const std::string& kind) {
+        const auto& target = exchange.request.target;
+        const auto since = number_of(target, "watch");
+        if (since < forgotten_) {
+            exchange.respond({410, {}, ""});
+            return;
+        }
+        const auto is_later = [&](const change& it) {
+            return it.kind == kind && it.revision > since;
+        };
+        if (std::any_of(history_.begin(), history_.end(), is_later)) {
+            exchange.respond(events(kind, since));
+            return;
+        }
+        const auto id = next_watcher_++;
+        watchers_[id] = {kind, since, exchange.respond};
+        const auto wait =
+            std::chrono::milliseconds(number_of(target, "wait_ms"));
+        loop_.after(wait, [this, id] { end_watch(id); });
     }
 
-    http_response changes(const std::string& prefix,
-                          std::uint64_t since) const {
-        auto list = nlohmann::json::array();
-        for (const auto& [key, it] : objects_)
-            if (key.starts_with(prefix) && it.revision > since)
-                list.push_back(to_json(key, it));
-        return io::json_response(
-            200,
-            nlohmann::json{{"revision", revision_}, {"objects", list}}.dump());
+    void end_watch(std::uint64_t id) {
+        const auto found = watchers_.find(id);
+        if (found == watchers_.end())
+            return;
+        const auto waiting = std::move(found->second);
+        watchers_.erase(found);
+        if (!faults_.outage)
+            waiting.respond(events(waiting.kind, waiting.since));
     }
 
-    static nlohmann::json to_json(const std::string& key, const object& it) {
-        return {{"key", key}, {"version", it.version}, {"value", it.value}};
+    http_response events(const std::string& kind, std::uint64_t since) const {
+        auto events = json::array();
+        for (const auto& it : history_)
+            if (it.kind == kind && it.revision > since)
+                events.push_back(
+                    {{"object", it.object}, {"deleted", it.is_deleted}});
+        const json answer{{"events", events}, {"at", revision_}};
+        return io::json_response(200, answer.dump());
     }
 
     io::reactor& loop_;
     faults faults_;
-    counters counters_;
-    std::uint64_t revision_{};
-    std::map<std::string, object> objects_;
+    json counters_ = json::object();
+    std::uint64_t revision_{1};
+    /// Watches from before this are told that the history is gone.
+    std::uint64_t forgotten_{};
+    std::map<std::string, std::map<std::string, json>> objects_;
+    std::vector<change> history_;
     std::uint64_t next_watcher_{1};
     std::map<std::uint64_t, watcher> watchers_;
 };
