node, integration: the platform's path is measured and tested with real processes

Change: integration tests run a store and nodes as processes beside targets that the test plays: byte for byte passing, not-run told truly, a node killed under a running call, graceful stop, restart, drain, a moved route, lost history, the store refusing while all nodes restart, bad settings on SIGHUP. Nodes serve counters, gauges and latency histograms by service, priority and outcome with prometheus-cpp; the deploy file names the address. The tests wait by them: without that one of two nodes was asked before it had heard of the second target.

--- /dev/null
+++ b/source/integration/test/platform_places.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "processes.hpp"
+
+#include <redwingwind/io/stream_server.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace redwingwind::integration {
+
+/// What a target of the test saw of a request.
+struct seen_request {
+    http_request request;
+    std::string caller;
+    std::string instance;
+    std::int64_t time_left_ms{};
+};
+
+/// A target that this test plays itself, speaking the platform's words.
+class test_target {
+  public:
+    enum class manner {
+        answers,
+        /// Takes requests and answers when release() is called.
+        holds,
+        /// Says of each request that it was not run.
+        full
+    };
+
+    explicit test_target(io::reactor& loop);
+
+    std::uint16_t port() const { return server_->port(); }
+    void behave(manner how) { manner_ = how; }
+    void release();
+    /// Runs of the request with this id.
+    std::size_t runs(const std::string& id) const;
+    std::size_t runs() const { return seen_.size(); }
+    const seen_request& last() const { return seen_.back(); }
+
+  private:
+    void on_request(io::stream_server::arrival arrival);
+    void answer(io::stream_server::exchange_id exchange, const std::string& id);
+
+    struct held_request {
+        io::stream_server::exchange_id exchange{};
+        std::string id;
+    };
+
+    manner manner_{manner::answers};
+    std::vector<seen_request> seen_;
+    std::vector<held_request> held_;
+    std::unique_ptr<io::stream_server> server_;
+};
+
+/// A node as the platform runs it, with a target beside it.
+struct platform_place {
+    std::string service;
+    std::string domain;
+    std::string instance;
+    std::uint16_t outbound{};
+    std::uint16_t readiness{};
+    std::uint16_t announce{};
+    std::uint16_t metrics{};
+    std::uint16_t peer{};
+    std::uint64_t sequence{};
+    std::unique_ptr<test_target> target;
+    std::unique_ptr<process> node;
+    std::string settings_file;
+};
+
+/// Nodes on the platform's path: a store, and a node and a target for each of
+/// the services given.
+class platform_deployment {
+  public:
+    platform_deployment(http_caller& http, std::vector<std::string> services);
+    ~platform_deployment();
+    platform_deployment(const platform_deployment&) = delete;
+    platform_deployment& operator=(const platform_deployment&) = delete;
+
+    platform_place& at(std::size_t n) { return *places_.at(n); }
+    std::size_t size() const { return places_.size(); }
+    void start_node(std::size_t n);
+    /// Writes the operator's configuration: routes /SERVICE/ for each service,
+    /// run once, and /again/SERVICE/, which may repeat. Some routes may lead
+    /// elsewhere.
+    void configure(std::uint64_t version,
+                   const std::map<std::string, std::string>& moved = {});
+    http_response beat(std::size_t n, const std::string& state = "ready");
+    bool is_ready(std::size_t n);
+    bool wait_ready();
+    /// Waits until each node is ready and knows all targets.
+    bool wait_served();
+    std::string metrics_of(std::size_t n);
+    void store_faults(const std::string& faults);
+
+    io::http_call make_call(std::size_t n, const std::string& target,
+                            const std::string& id) const;
+    io::http_result send(std::size_t n, const std::string& target,
+                         const std::string& id);
+
+  private:
+    bool knows_all(const std::string& metrics) const;
+
+    http_caller& http_;
+    process store_;
+    std::string store_url_;
+    std::vector<std::string> services_;
+    std::vector<std::unique_ptr<platform_place>> places_;
+};
+
+} // namespace redwingwind::integration
--- a/source/integration/test/processes.hpp
+++ b/source/integration/test/processes.hpp
@@ -59,6 +59,7 @@
 
     bool wait_until(const std::function<bool()>& condition, duration limit);
     void sleep(duration time);
+    io::reactor& loop() { return loop_; }
 
   private:
     io::reactor loop_;
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -119,6 +119,19 @@
         io::stream_server::hooks{
             [this](const io::stream_server::arrival& a) { on_announce(a); },
             ignore});
+    if (settings_.metrics.port == 0)
+        return;
+    metrics_server_ = std::make_unique<io::stream_server>(
+        loop_, settings_.metrics, io::stream_limits{},
+        io::stream_server::hooks{
+            [this](const io::stream_server::arrival& a) {
+                metrics_server_->respond(
+                    a.exchange,
+                    {status_ok,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     metrics_.text(gauges())});
+            },
+            ignore});
 }
 
 void relay_daemon::run() {
@@ -210,6 +223,9 @@
     h.on_event = [this](const relay::call_event& event) {
         log_.call(steady_now(), event);
     };
+    h.on_ended = [this](const relay::ended_call& call) {
+        metrics_.on_call(call);
+    };
     h.random = random_;
     return h;
 }
@@ -243,6 +259,7 @@
     h.on_event = [this](const relay::call_event& event) {
         log_.call(steady_now(), event);
     };
+    h.on_ended = [this](const relay::ended_run& run) { metrics_.on_run(run); };
     return h;
 }
 
@@ -472,6 +489,7 @@
     log_event(
         log_channel::configuration, log_level::info, "in_force",
         {{"version", policy->version}, {"routes", policy->routes.size()}});
+    policy_since_ = steady_now();
     sender_->set_policy(
         std::make_shared<const relay::traffic_policy>(*std::move(policy)));
 }
@@ -530,6 +548,23 @@
     loop_.after(state_interval, [this] { log_state(); });
 }
 
+relay_gauges relay_daemon::gauges() {
+    const auto now = steady_now();
+    relay_gauges it;
+    it.live_nodes = members_->live_count() + 1;
+    it.open_calls = sender_->open_calls();
+    it.policy_version = sender_->policy_version();
+    if (it.policy_version != 0)
+        it.policy_age = now - policy_since_;
+    it.is_store_reached = agent_->is_store_reached();
+    it.store_calls = agent_->counters().calls;
+    it.log_lines_left_out = log_.left_out();
+    it.target = runner_->load();
+    it.target_strain = runner_->strain(now);
+    it.services = sender_->targets(now);
+    return it;
+}
+
 void relay_daemon::reload() {
     if (settings_.file.empty())
         return;
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -19,6 +19,7 @@
 #include "peer_links.hpp"
 #include "platform_agent.hpp"
 #include "relay_log.hpp"
+#include "relay_metrics.hpp"
 #include "relay_settings.hpp"
 
 namespace redwingwind::node {
@@ -78,11 +79,13 @@
     void begin_stop();
     void check_stop();
     void log_state();
+    relay_gauges gauges();
 
     relay_settings settings_;
     io::reactor loop_;
     random_hook random_;
     relay_log log_;
+    relay_metrics metrics_;
     std::unique_ptr<io::http_client> store_client_;
     std::unique_ptr<coordination::membership> members_;
     std::unique_ptr<coordination::config_spread> configs_;
@@ -95,11 +98,14 @@
     std::unique_ptr<io::stream_server> outbound_;
     std::unique_ptr<io::stream_server> readiness_;
     std::unique_ptr<io::stream_server> announce_;
+    /// None when the settings name no address for it.
+    std::unique_ptr<io::stream_server> metrics_server_;
     std::unordered_map<std::uint64_t, io::stream_client::call_id> at_target_;
     std::map<coordination::address, node_name> name_at_;
     io::reactor::timer_id timer_{};
     time_point timer_due_{};
     time_point started_;
+    time_point policy_since_{};
     time_point stop_since_{};
     std::filesystem::file_time_type file_time_{};
     bool is_stopping_{};
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -16,6 +16,7 @@
         return true;
     }
     ++left_out_;
+    ++all_left_out_;
     return false;
 }
 
--- a/source/node/src/relay_log.hpp
+++ b/source/node/src/relay_log.hpp
@@ -13,6 +13,8 @@
 class relay_log {
   public:
     void call(time_point now, const relay::call_event& event);
+    /// Since the start.
+    std::uint64_t left_out() const { return all_left_out_; }
 
   private:
     /// Lines in a second, before lines are left out.
@@ -23,6 +25,7 @@
     time_point second_{};
     std::uint32_t written_{};
     std::uint64_t left_out_{};
+    std::uint64_t all_left_out_{};
 };
 
 } // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_metrics.cpp
@@ -0,0 +1,188 @@
+#include "relay_metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+
+namespace redwingwind::node {
+namespace {
+
+using coordination::outcome;
+
+/// Upper ends of the latency buckets, in seconds.
+const prometheus::Histogram::BucketBoundaries latency_buckets{
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+const char* name_of(outcome what, error_code why) {
+    switch (what) {
+    case outcome::done:
+        return why == error_code::none ? "served" : "failed_by_target";
+    case outcome::not_run:
+        return "turned_away";
+    case outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+void set(prometheus::Registry& registry, const std::string& name,
+         const std::string& help, double value,
+         const prometheus::Labels& labels = {}) {
+    prometheus::BuildGauge()
+        .Name("redwingwind_" + name)
+        .Help(help)
+        .Register(registry)
+        .Add(labels)
+        .Set(value);
+}
+
+void set_services(prometheus::Registry& registry,
+                  const std::vector<relay::service_targets>& services) {
+    for (const auto& it : services) {
+        const prometheus::Labels labels{{"service", it.service.value}};
+        set(registry, "targets", "Targets known to be ready",
+            static_cast<double>(it.targets), labels);
+        set(registry, "targets_fullness",
+            "Mean share of the targets' slots in use, as last told",
+            it.fullness, labels);
+        set(registry, "repeats_left",
+            "Repeats that this node may still make in the window",
+            it.repeats_left, labels);
+    }
+}
+
+} // namespace
+
+class relay_metrics::impl {
+  public:
+    impl()
+        : calls_(prometheus::BuildCounter()
+                     .Name("redwingwind_calls_total")
+                     .Help("Calls of callers on this machine")
+                     .Register(registry_)),
+          latency_(prometheus::BuildHistogram()
+                       .Name("redwingwind_call_seconds")
+                       .Help("From a call's arrival to its answer")
+                       .Register(registry_)),
+          runs_(prometheus::BuildCounter()
+                    .Name("redwingwind_runs_total")
+                    .Help("Calls that came to the target of this node")
+                    .Register(registry_)),
+          waits_(prometheus::BuildHistogram()
+                     .Name("redwingwind_wait_seconds")
+                     .Help("Time before the target beside this node")
+                     .Register(registry_)
+                     .Add({}, latency_buckets)),
+          times_(prometheus::BuildHistogram()
+                     .Name("redwingwind_run_seconds")
+                     .Help("Time at the target beside this node")
+                     .Register(registry_)
+                     .Add({}, latency_buckets)) {}
+
+    void on_call(const relay::ended_call& call) {
+        auto& it =
+            of_call(call.service, call.priority, name_of(call.what, call.why));
+        it.count->Increment();
+        it.latency->Observe(seconds(call.took));
+    }
+
+    void on_run(const relay::ended_run& run) {
+        const auto* end = name_of(run.what, run.why);
+        auto& count = run_counts_[end];
+        if (count == nullptr)
+            count = &runs_.Add({{"outcome", end}});
+        count->Increment();
+        waits_.Observe(seconds(run.waited));
+        if (run.what != outcome::not_run)
+            times_.Observe(seconds(run.took));
+    }
+
+    std::string text(const relay_gauges& now) {
+        prometheus::Registry gauges;
+        set(gauges, "live_nodes", "Nodes that count as alive, this one too",
+            static_cast<double>(now.live_nodes));
+        set(gauges, "open_calls", "Calls without an answer yet",
+            static_cast<double>(now.open_calls));
+        set(gauges, "configuration_version", "In force; 0 for none",
+            static_cast<double>(now.policy_version));
+        set(gauges, "configuration_age_seconds", "Since it came into force",
+            seconds(now.policy_age));
+        set(gauges, "store_reached", "1 while the store answers",
+            now.is_store_reached ? 1 : 0);
+        set(gauges, "store_calls", "Calls made to the store",
+            static_cast<double>(now.store_calls));
+        set(gauges, "log_lines_left_out", "Under load, since the start",
+            static_cast<double>(now.log_lines_left_out));
+        set(gauges, "target_running", "Calls at the target beside this node",
+            now.target.running);
+        set(gauges, "target_waiting", "Calls that wait for a slot of it",
+            now.target.queued);
+        set(gauges, "target_limit", "Slots of it that are used",
+            now.target.limit);
+        set(gauges, "target_strain", "Share of nested calls short of room",
+            now.target_strain);
+        set_services(gauges, now.services);
+        auto all = registry_.Collect();
+        auto more = gauges.Collect();
+        all.insert(all.end(), more.begin(), more.end());
+        return prometheus::TextSerializer().Serialize(all);
+    }
+
+  private:
+    struct series_key {
+        service_name service;
+        std::uint8_t priority{};
+        const char* end{};
+
+        auto operator<=>(const series_key&) const = default;
+    };
+    struct call_series {
+        prometheus::Counter* count{};
+        prometheus::Histogram* latency{};
+    };
+
+    call_series& of_call(const service_name& service, std::uint8_t priority,
+                         const char* end) {
+        auto& it = call_series_[{service, priority, end}];
+        if (it.count != nullptr)
+            return it;
+        const prometheus::Labels labels{{"service", service.value},
+                                        {"priority", std::to_string(priority)},
+                                        {"outcome", end}};
+        it.count = &calls_.Add(labels);
+        it.latency = &latency_.Add(labels, latency_buckets);
+        return it;
+    }
+
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& calls_;
+    prometheus::Family<prometheus::Histogram>& latency_;
+    prometheus::Family<prometheus::Counter>& runs_;
+    prometheus::Histogram& waits_;
+    prometheus::Histogram& times_;
+    // By the literals of name_of().
+    std::map<series_key, call_series> call_series_;
+    std::map<const char*, prometheus::Counter*> run_counts_;
+};
+
+relay_metrics::relay_metrics() : impl_(std::make_unique<impl>()) {}
+
+relay_metrics::~relay_metrics() = default;
+
+void relay_metrics::on_call(const relay::ended_call& call) {
+    impl_->on_call(call);
+}
+
+void relay_metrics::on_run(const relay::ended_run& run) {
+    impl_->on_run(run);
+}
+
+std::string relay_metrics::text(const relay_gauges& now) const {
+    return impl_->text(now);
+}
+
+} // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_metrics.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <redwingwind/overload/balancer.hpp>
+#include <redwingwind/relay/call.hpp>
+#include <redwingwind/relay/sender.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace redwingwind::node {
+
+/// What a node holds at the moment it is asked.
+struct relay_gauges {
+    std::size_t live_nodes{};
+    std::size_t open_calls{};
+    std::uint64_t policy_version{};
+    /// Since the version came into force; 0 without one.
+    duration policy_age{};
+    bool is_store_reached{};
+    std::uint64_t store_calls{};
+    std::uint64_t log_lines_left_out{};
+    overload::load_report target;
+    double target_strain{};
+    std::vector<relay::service_targets> services;
+};
+
+/// Counters, gauges and latency histograms in Prometheus' text format. Their
+/// names are an interface: alerts and dashboards use them.
+class relay_metrics {
+  public:
+    relay_metrics();
+    ~relay_metrics();
+    relay_metrics(const relay_metrics&) = delete;
+    relay_metrics& operator=(const relay_metrics&) = delete;
+
+    void on_call(const relay::ended_call& call);
+    void on_run(const relay::ended_run& run);
+    std::string text(const relay_gauges& now) const;
+
+  private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace redwingwind::node
--- a/source/relay/include/redwingwind/relay/call.hpp
+++ b/source/relay/include/redwingwind/relay/call.hpp
@@ -65,6 +65,25 @@
     bool is_unreachable{};
 };
 
+/// How a call of a caller on this machine ended, for the metrics.
+struct ended_call {
+    service_name service;
+    std::uint8_t priority{};
+    coordination::outcome what{};
+    error_code why{};
+    duration took{};
+};
+
+/// How a call that came to the target beside this node ended.
+struct ended_run {
+    coordination::outcome what{};
+    error_code why{};
+    /// Before it started, or was turned away.
+    duration waited{};
+    /// At the target.
+    duration took{};
+};
+
 /// A decision that touches a call, for the log.
 struct call_event {
     std::string_view what;
--- a/source/relay/include/redwingwind/relay/runner.hpp
+++ b/source/relay/include/redwingwind/relay/runner.hpp
@@ -62,6 +62,7 @@
         /// A run of the route started at the target.
         std::function<void(time_point, const std::string& route)> on_run;
         std::function<void(const call_event&)> on_event;
+        std::function<void(const ended_run&)> on_ended;
     };
 
     runner(runner_options options, hooks h);
--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -33,6 +33,16 @@
     duration answer_grace{std::chrono::milliseconds(40)};
 };
 
+/// What a node knows of a service's targets.
+struct service_targets {
+    service_name service;
+    std::size_t targets{};
+    /// Mean share of their slots in use, as last told.
+    double fullness{};
+    /// Repeats that this node may still make in the window.
+    double repeats_left{};
+};
+
 /// The side of a node that faces callers: routes a call, places it, repeats
 /// it where that is allowed, and tells the caller one final answer.
 class sender {
@@ -46,6 +56,7 @@
             cancel;
         std::function<void(exchange_id, call_answer)> answer;
         std::function<void(const call_event&)> on_event;
+        std::function<void(const ended_call&)> on_ended;
         random_hook random;
     };
 
@@ -84,6 +95,8 @@
 
     std::uint64_t policy_version() const;
     std::size_t open_calls() const { return open_.size(); }
+    /// Targets known, by service.
+    std::vector<service_targets> targets(time_point now);
     const overload::root_admission& roots() const { return roots_; }
     const overload::call_attribution& attribution() const {
         return attribution_;
@@ -92,6 +105,7 @@
   private:
     struct open_call {
         incoming_call call;
+        time_point arrived;
         service_name service;
         bool is_idempotent{};
         std::string route;
--- a/source/relay/src/runner.cpp
+++ b/source/relay/src/runner.cpp
@@ -160,6 +160,7 @@
     answer.retry_after_ms =
         static_cast<std::uint32_t>(milliseconds(retry_after));
     note(it, now, "turned_away", why);
+    hooks_.on_ended({outcome::not_run, why, now - it.arrived, {}});
     hooks_.reply(it.key.caller, answer);
 }
 
@@ -239,6 +240,8 @@
         back.why = error_code::cut_off;
         break;
     }
+    hooks_.on_ended(
+        {back.what, back.why, it.started - it.arrived, now - it.started});
     if (back.what != outcome::done)
         note(it, now, "not_answered", back.why);
     if (!it.is_abandoned)
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -83,6 +83,7 @@
     open_call it;
     it.call.id = call.id;
     note(it, now, "turned_away", why);
+    hooks_.on_ended({{}, 0, outcome::not_run, why, duration::zero()});
     hooks_.answer(call.exchange, {outcome::not_run, why, {}, retry_after});
 }
 
@@ -103,6 +104,7 @@
     }
     const auto exchange = call.exchange;
     open_call it;
+    it.arrived = now;
     it.service = choosers_[rule.name].next(rule);
     const auto known = is_nested_.find(rule.name);
     it.is_nested = known != is_nested_.end() && known->second;
@@ -301,6 +303,8 @@
              answer.what == outcome::not_run ? "turned_away" : "failed",
              answer.why);
     const auto exchange = it.call.exchange;
+    hooks_.on_ended(
+        {it.service, it.priority, answer.what, answer.why, now - it.arrived});
     by_sequence_.erase(it.sequence);
     open_.erase(exchange);
     hooks_.answer(exchange, std::move(answer));
@@ -357,6 +361,17 @@
     }
 }
 
+std::vector<service_targets> sender::targets(time_point now) {
+    std::vector<service_targets> all;
+    for (auto& [service, it] : placements_) {
+        service_targets known{service, it.size(), it.fullness(), 0};
+        if (const auto of = repeats_.find(service); of != repeats_.end())
+            known.repeats_left = of->second.left(now, live_nodes_);
+        all.push_back(known);
+    }
+    return all;
+}
+
 time_point sender::next_due() const {
     return due_.empty() ? time_point::max() : due_.top().at;
 }
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -87,6 +87,7 @@
             answers[exchange] = std::move(answer);
         };
         h.on_event = [](const call_event&) {};
+        h.on_ended = [](const auto&) {};
         h.random = make_random(7);
         return h;
     }
@@ -142,6 +143,7 @@
         };
         h.on_run = [](time_point, const std::string&) {};
         h.on_event = [](const call_event&) {};
+        h.on_ended = [](const auto&) {};
         return h;
     }
 
