overload, relay: the retry budget is exact in every window, and lasts

Half of the budget was kept back for repeats made by repeated runs, all of it could go in the first second, and a call that was turned away by max_attempts targets was lost though the last could be asked again.

Change: a repeat is spent where every window that it will lie in keeps the bound as it is stated (the window, the one before, the one half before); calls of repeated runs count by the share of repeats among the runs beside the node, so 0.7 instead of 0.5 may be used; at most 0.3 of what is left in half a second; calls from outside leave half to nested ones; the last target is asked again; nothing is repeated where most answers of the service are failures.

--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -32,9 +32,12 @@
 /// From the stop signal on callers are still served this long: they are sent
 /// elsewhere only after they saw that this node is not ready.
 constexpr duration least_stop_time = std::chrono::milliseconds(2500);
-/// Callers that have no other node to go to are served until this long
-/// before the end, so that what they were promised can still be finished.
-constexpr duration last_calls_time = std::chrono::milliseconds(1300);
+/// Callers that have no other node to go to are served meanwhile. What came
+/// in this time and lasts too long is nobody's fault; after it only calls are
+/// taken that can be finished.
+constexpr duration any_calls_time = std::chrono::milliseconds(2900);
+/// Calls that usually end by this long before the end are taken.
+constexpr duration last_answers_time = std::chrono::milliseconds(300);
 /// How often the settings file is looked at: it may change without a signal.
 constexpr duration file_interval = std::chrono::seconds(1);
 /// How often a node writes the state that its decisions come from.
@@ -226,6 +229,7 @@
     h.on_ended = [this](const relay::ended_call& call) {
         metrics_.on_call(call);
     };
+    h.repeat_share = [this] { return runner_->repeat_share(); };
     h.random = random_;
     return h;
 }
@@ -613,8 +617,8 @@
     const auto passed = steady_now() - stop_since_;
     if (passed > least_stop_time)
         outbound_->close_gradually();
-    if (passed > settings_.stop_time - last_calls_time)
-        sender_->stop();
+    if (passed > std::min(any_calls_time, settings_.stop_time / 2))
+        sender_->stop_by(stop_since_ + settings_.stop_time - last_answers_time);
     const bool is_idle = sender_->open_calls() == 0 &&
                          runner_->open_calls() == 0 &&
                          outbound_->open_exchanges() == 0;
--- a/source/relay/include/redwingwind/relay/runner.hpp
+++ b/source/relay/include/redwingwind/relay/runner.hpp
@@ -88,6 +88,8 @@
     const std::string& instance() const { return target_.instance; }
     coordination::target_state state() const { return state_; }
     overload::load_report load() const { return gate_.load(); }
+    /// Share of the running calls that are repeats.
+    double repeat_share() const;
     std::size_t open_calls() const { return open_.size(); }
     double strain(time_point now) const { return strain_.value(now); }
 
@@ -118,7 +120,6 @@
     using call_map = std::unordered_map<std::uint64_t, open_call>;
     /// Out of both indexes.
     open_call take(call_map::iterator found);
-    void reply(const open_call& it, coordination::relay_reply_frame answer);
     void note(const open_call& it, time_point now, std::string_view what,
               error_code why) const;
     coordination::relay_reply_frame make_reply(const open_call& it,
@@ -134,6 +135,9 @@
     time_point last_announced_{};
     time_point next_look_{};
     bool is_stopping_{};
+    std::size_t running_{};
+    /// Of these, repeats.
+    std::size_t repeats_running_{};
     std::uint64_t next_execution_{1};
     call_map open_;
     std::map<call_key, std::uint64_t> by_key_;
--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -29,6 +29,13 @@
     overload::root_admission_options roots;
     /// Nodes that one call may be turned away by before its caller is told.
     std::uint32_t most_refusals{3};
+    /// Times that targets may turn one call away before its caller is told.
+    std::uint32_t most_sheds{8};
+    /// While more of a service's answers are failures, none is repeated.
+    double hopeless_share{0.5};
+    /// Share of the retry budget that calls from outside leave to those that
+    /// running work makes: their own callers can come back.
+    double kept_for_nested{0.5};
     /// Time past a call's end for an answer that is on its way.
     duration answer_grace{std::chrono::milliseconds(40)};
 };
@@ -57,6 +64,9 @@
         std::function<void(exchange_id, call_answer)> answer;
         std::function<void(const call_event&)> on_event;
         std::function<void(const ended_call&)> on_ended;
+        /// How likely a run at the target beside this node is a repeat, 0 to
+        /// 1.
+        std::function<double()> repeat_share;
         random_hook random;
     };
 
@@ -68,8 +78,8 @@
     void add_target(const service_name& service,
                     const overload::candidate& target);
     void remove_target(const node_name& node);
-    /// This node stops: calls are turned away from now on.
-    void stop() { is_stopping_ = true; }
+    /// This node stops: it takes only calls that usually end by then.
+    void stop_by(time_point end) { stops_at_ = end; }
     /// Strain of the services that a run of the route beside this node calls.
     std::vector<overload::service_strain>
     strains_below(time_point now, const std::string& route) const;
@@ -120,6 +130,8 @@
         /// Targets that had the call, or may have had it.
         std::uint32_t attempts{};
         std::uint32_t refusals{};
+        /// Times that a target said that it did not run the call.
+        std::uint32_t sheds{};
         bool may_have_run{};
         duration retry_after{};
         error_code refused_for{};
@@ -137,6 +149,9 @@
     overload::placement& placement_of(const service_name& service);
     overload::repeat_budget& repeats_of(const service_name& service);
     void place(time_point now, open_call& it);
+    void send_to(time_point now, open_call& it, const node_name& node);
+    void shed(time_point now, open_call& it);
+    bool is_hopeless(time_point now, const open_call& it) const;
     void leave_target(time_point now, open_call& it, overload::placed_end end);
     void note_strains(time_point now, const open_call& it,
                       const coordination::relay_reply_frame& reply);
@@ -147,6 +162,7 @@
     duration root_retry_after() const;
     void give_up(time_point now, open_call& it);
     void finish(time_point now, open_call& it, call_answer answer);
+    duration slow_time(const route& rule) const;
     void turn_away(time_point now, const incoming_call& call, error_code why,
                    duration retry_after);
     void note(const open_call& it, time_point now, std::string_view what,
@@ -170,9 +186,13 @@
     };
     /// By the service called by the target beside this node.
     std::unordered_map<service_name, told_strains> nested_strains_;
+    /// By service, how many of its answers are failures.
+    std::unordered_map<service_name, overload::strain_meter> failures_;
     /// By route, as told by the nodes beside targets.
     std::unordered_map<std::string, bool> is_nested_;
-    bool is_stopping_{};
+    /// By route, how long the slower ones of its calls take.
+    std::unordered_map<std::string, duration> slow_times_;
+    time_point stops_at_{time_point::max()};
     std::uint64_t next_sequence_{1};
     std::size_t live_nodes_{1};
 };
--- a/source/relay/src/runner.cpp
+++ b/source/relay/src/runner.cpp
@@ -132,6 +132,8 @@
 void runner::start(time_point now, std::uint64_t execution) {
     auto& it = open_.at(execution);
     it.is_running = true;
+    ++running_;
+    repeats_running_ += it.call.is_repeat ? 1 : 0;
     it.started = now;
     hooks_.on_run(now, it.call.route);
     if (it.is_nested)
@@ -168,6 +170,10 @@
     const auto named = by_key_.find(found->second.key);
     if (named != by_key_.end() && named->second == found->first)
         by_key_.erase(named);
+    if (found->second.is_running) {
+        --running_;
+        repeats_running_ -= found->second.call.is_repeat ? 1 : 0;
+    }
     return std::move(open_.extract(found).mapped());
 }
 
@@ -249,6 +255,12 @@
     run_steps(now, steps);
 }
 
+double runner::repeat_share() const {
+    return running_ == 0 ? 0
+                         : static_cast<double>(repeats_running_) /
+                               static_cast<double>(running_);
+}
+
 void runner::tick(time_point now) {
     run_steps(now, gate_.expire(now));
     if (state_ == target_state::ready &&
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -98,7 +98,7 @@
         return;
     }
     const auto& rule = routes_->at(place_of_route);
-    if (is_stopping_) {
+    if (stops_at_ - now < slow_time(rule)) {
         turn_away(now, call, error_code::draining, duration::zero());
         return;
     }
@@ -122,7 +122,8 @@
     it.end = now + time;
     it.latest_useful = now + std::min(rule.target_latency, time);
     it.call = std::move(call);
-    repeats_of(it.service).on_request(now);
+    repeats_of(it.service)
+        .on_request(now, it.is_nested ? hooks_.repeat_share() : 0);
     if (it.is_nested)
         attribution_.on_call(now, it.service);
     due_.push({it.end + options_.answer_grace, exchange});
@@ -130,6 +131,11 @@
     place(now, added);
 }
 
+duration sender::slow_time(const route& rule) const {
+    const auto known = slow_times_.find(rule.name);
+    return known == slow_times_.end() ? rule.target_latency : known->second;
+}
+
 sender::open_call* sender::find(std::uint64_t sequence) {
     const auto named = by_sequence_.find(sequence);
     if (named == by_sequence_.end())
@@ -148,11 +154,15 @@
         give_up(now, it);
         return;
     }
-    it.sequence = next_sequence_++;
-    it.at = *node;
     it.tried.push_back(*node);
+    send_to(now, it, *node);
+}
+
+void sender::send_to(time_point now, open_call& it, const node_name& node) {
+    it.sequence = next_sequence_++;
+    it.at = node;
     by_sequence_[it.sequence] = it.call.exchange;
-    placement_of(it.service).on_sent(*node);
+    placement_of(it.service).on_sent(node);
     relay_call_frame call;
     call.sequence = it.sequence;
     call.service = it.service;
@@ -162,11 +172,11 @@
     call.priority = it.priority;
     call.is_idempotent = it.is_idempotent;
     call.route = it.route;
-    call.is_repeat = it.attempts > 0;
+    call.is_repeat = it.attempts > 0 || it.sheds > 0;
     call.time_left_ms = static_cast<std::uint32_t>(milliseconds(it.end - now));
     call.latency_left_ms = static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, milliseconds(it.latest_useful - now)));
-    hooks_.send(*node, call);
+    hooks_.send(node, call);
 }
 
 void sender::leave_target(time_point now, open_call& it, placed_end end) {
@@ -187,8 +197,10 @@
     switch (reply.what) {
     case outcome::not_run:
         leave_target(now, *it, placed_end::neutral);
-        if (reply.why == error_code::target_shed)
-            ++it->attempts;
+        if (reply.why == error_code::target_shed) {
+            shed(now, *it);
+            return;
+        }
         refused(now, *it, reply.why,
                 std::chrono::milliseconds(reply.retry_after_ms));
         return;
@@ -200,6 +212,10 @@
         break;
     }
     const bool is_failure = reply.why == error_code::target_failed;
+    if (is_failure)
+        failures_[it->service].on_refused(now);
+    else
+        failures_[it->service].on_started(now, duration::zero());
     leave_target(now, *it,
                  is_failure ? placed_end::failed : placed_end::answered);
     if (is_failure && it->is_idempotent) {
@@ -249,25 +265,56 @@
     it.retry_after = it.retry_after == duration::zero()
                          ? retry_after
                          : std::min(it.retry_after, retry_after);
-    const bool costs_a_repeat = why == error_code::target_shed;
     if (it.refusals >= options_.most_refusals ||
-        it.attempts >= it.most_attempts ||
-        (costs_a_repeat && !repeats_of(it.service).take(now, live_nodes_))) {
+        it.attempts >= it.most_attempts) {
         give_up(now, it);
         return;
     }
     place(now, it);
 }
 
+void sender::shed(time_point now, open_call& it) {
+    ++it.sheds;
+    it.refused_for = error_code::target_shed;
+    const double reserve = it.is_nested ? 0 : options_.kept_for_nested;
+    if (it.sheds > options_.most_sheds ||
+        !repeats_of(it.service).take(now, live_nodes_, reserve)) {
+        give_up(now, it);
+        return;
+    }
+    if (it.end - now < least_time_left) {
+        give_up(now, it);
+        return;
+    }
+    // Only so many targets may have it; then the last one is asked again.
+    std::optional<node_name> other;
+    if (it.attempts + 1 < it.most_attempts)
+        other = placement_of(it.service).pick(now, it.tried, hooks_.random);
+    if (!other) {
+        send_to(now, it, node_name(it.at));
+        return;
+    }
+    ++it.attempts;
+    it.tried.push_back(*other);
+    send_to(now, it, *other);
+}
+
+bool sender::is_hopeless(time_point now, const open_call& it) const {
+    if (roots_.strain_below(now, it.route) > options_.roots.threshold)
+        return true;
+    const auto known = failures_.find(it.service);
+    return known != failures_.end() &&
+           known->second.value(now) > options_.hopeless_share;
+}
+
 void sender::failed(time_point now, open_call& it, error_code why) {
     ++it.attempts;
     it.may_have_run = true;
     it.refused_for = why;
-    // What failed for want of room below would fail again.
-    const bool is_strained =
-        why == error_code::target_failed &&
-        roots_.strain_below(now, it.route) > options_.roots.threshold;
-    if (!it.is_idempotent || it.attempts >= it.most_attempts || is_strained ||
+    // What failed for want of what is below would fail again.
+    const bool will_fail =
+        why == error_code::target_failed && is_hopeless(now, it);
+    if (!it.is_idempotent || it.attempts >= it.most_attempts || will_fail ||
         !repeats_of(it.service).take(now, live_nodes_)) {
         give_up(now, it);
         return;
@@ -303,6 +350,10 @@
              answer.what == outcome::not_run ? "turned_away" : "failed",
              answer.why);
     const auto exchange = it.call.exchange;
+    if (answer.what == outcome::done) {
+        auto& slow = slow_times_[it.route];
+        slow = std::max(now - it.arrived, slow * 99 / 100);
+    }
     hooks_.on_ended(
         {it.service, it.priority, answer.what, answer.why, now - it.arrived});
     by_sequence_.erase(it.sequence);
