node, io, common: nothing taken and left at the end of a stop; logs never wait; arriving bodies count

Standard output blocked a node whose reader did not read (log4cxx's console appender). Requests that still arrive were not in the bound of held bytes.

Repeats are not spread over time below ten in half a second, and some are kept for nested calls only where there are any: the integration test of two targets showed 503 with a target free.

--- a/source/common/include/redwingwind/common/log.hpp
+++ b/source/common/include/redwingwind/common/log.hpp
@@ -23,7 +23,8 @@
 
 enum class log_output : std::uint8_t { standard_error, standard_output };
 
-/// Sends one JSON object a line to the output. The level is one of debug,
+/// Sends one JSON object a line to the output, without waiting for its
+/// reader: see line_output. The level is one of debug,
 /// info, warn and error; anything else counts as info.
 void start_logging(const std::string& level,
                    log_output output = log_output::standard_error);
--- a/source/common/src/log.cpp
+++ b/source/common/src/log.cpp
@@ -1,12 +1,17 @@
 #include <redwingwind/common/log.hpp>
 
-#include <log4cxx/consoleappender.h>
+#include <redwingwind/common/line_output.hpp>
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
 #include <array>
+#include <utility>
 
 namespace redwingwind {
 namespace {
@@ -39,17 +44,37 @@
     return log4cxx::Level::getInfo();
 }
 
+/// log4cxx's own console appender waits for a reader that reads nothing.
+class line_appender : public log4cxx::AppenderSkeleton {
+  public:
+    line_appender(log4cxx::LayoutPtr layout, int fd)
+        : layout_(std::move(layout)), out_(fd) {}
+
+    void close() override {}
+    bool requiresLayout() const override { return false; }
+
+  protected:
+    void append(const log4cxx::spi::LoggingEventPtr& event,
+                log4cxx::helpers::Pool& pool) override {
+        log4cxx::LogString line;
+        layout_->format(line, event, pool);
+        out_.write(line);
+    }
+
+  private:
+    log4cxx::LayoutPtr layout_;
+    line_output out_;
+};
+
 } // namespace
 
 void start_logging(const std::string& level, log_output output) {
     // The event itself is JSON already; the layout adds time, level, channel.
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        R"({"time":"%d{yyyy-MM-ddTHH:mm:ss.SSS}","level":"%p","channel":"%c",%m})"
-        "%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, output == log_output::standard_output
-                    ? log4cxx::ConsoleAppender::getSystemOut()
-                    : log4cxx::ConsoleAppender::getSystemErr());
+        R"({"time":"%d{yyyy-MM-ddTHH:mm:ss.SSS}","level":"%p","channel":"%c",%m})");
+    const auto appender = std::make_shared<line_appender>(
+        layout,
+        output == log_output::standard_output ? STDOUT_FILENO : STDERR_FILENO);
     const auto root = log4cxx::Logger::getRootLogger();
     root->addAppender(appender);
     root->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
--- a/source/io/include/redwingwind/io/stream_server.hpp
+++ b/source/io/include/redwingwind/io/stream_server.hpp
@@ -22,7 +22,8 @@
     /// A caller that takes nothing of its answer for this long is closed.
     duration write_timeout{std::chrono::seconds(20)};
     std::uint32_t most_connections{4096};
-    /// Request and answer bytes held for all callers together.
+    /// Request and answer bytes held for all callers together, requests that
+    /// still arrive among them: beyond it what arrives is turned away.
     std::size_t most_held_bytes{std::size_t{64} << 20U};
 };
 
--- a/source/io/src/stream_server.cpp
+++ b/source/io/src/stream_server.cpp
@@ -81,6 +81,7 @@
             return;
         it.is_busy = false;
         --open_exchanges_;
+        hold(it, it.in.size());
         const bool closes = !it.may_stay || is_closing_;
         append(it, write_response(response, {closes, it.is_head}));
         it.reader.start(limits_.message);
@@ -122,6 +123,8 @@
         http1_reader reader;
         std::string in;
         std::string out;
+        /// Read of the request that arrives or is being answered.
+        std::size_t held{};
         std::uint64_t sequence{};
         /// A request waits for its answer.
         bool is_busy{};
@@ -192,6 +195,7 @@
         if (it.is_ending)
             return;
         it.in.append(scratch_.data(), static_cast<std::size_t>(n));
+        hold(it, it.held + static_cast<std::size_t>(n));
         if (it.is_busy) {
             if (it.in.size() > most_pipelined_bytes)
                 update_watch(it);
@@ -218,7 +222,10 @@
         switch (state) {
         case http1_state::empty:
         case http1_state::partial:
-            tell_to_continue(it);
+            if (held_bytes_ > limits_.most_held_bytes)
+                reject(it, status_unavailable);
+            else
+                tell_to_continue(it);
             return;
         case http1_state::complete:
             hand_over(it);
@@ -263,6 +270,13 @@
         flush(it.id);
     }
 
+    /// Counts what is kept of a connection's requests.
+    void hold(connection& it, std::size_t bytes) {
+        held_bytes_ += bytes;
+        held_bytes_ -= it.held;
+        it.held = bytes;
+    }
+
     void append(connection& it, const std::string& bytes) {
         held_bytes_ += bytes.size();
         it.out.append(bytes);
@@ -307,7 +321,7 @@
             return;
         const auto it = std::move(found->second);
         connections_.erase(found);
-        held_bytes_ -= it->out.size();
+        held_bytes_ -= it->out.size() + it->held;
         it->watch.reset();
         it->stream.close();
         if (!it->is_busy)
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -291,6 +291,30 @@
     BOOST_TEST(server.asked.empty());
 }
 
+BOOST_AUTO_TEST_CASE(turns_away_what_arrives_beyond_its_memory) {
+    reactor loop;
+    stream_limits limits;
+    limits.most_held_bytes = 1000;
+    kept_server server(loop, limits);
+    server.answers = false;
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+    raw_caller first(loop, server.it.port());
+    first.send(head + "600\r\n\r\n" + std::string(600, 'x'));
+    BOOST_TEST(loop.run_until([&] { return !server.asked.empty(); }, patience));
+    raw_caller second(loop, server.it.port());
+    second.send(head + "5000\r\n\r\n" + std::string(900, 'x'));
+    BOOST_TEST(second.wait_for("HTTP/1.1 503 "));
+    BOOST_TEST(second.wait_for_end());
+    // Once the first is answered there is room again.
+    server.it.respond(server.asked[0].exchange, {200, {}, "ok"});
+    BOOST_TEST(first.wait_for("ok"));
+    second.leave();
+    raw_caller third(loop, server.it.port());
+    third.send(head + "600\r\n\r\n" + std::string(600, 'x'));
+    BOOST_TEST(
+        loop.run_until([&] { return server.asked.size() == 2; }, patience));
+}
+
 BOOST_AUTO_TEST_CASE(notices_a_caller_that_leaves) {
     reactor loop;
     kept_server server(loop);
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -29,22 +29,8 @@
 /// A node that knows no other is ready after this all the same: it may be
 /// the only one.
 constexpr duration alone_after = std::chrono::seconds(2);
-/// From the stop signal on callers are still served this long: they are sent
-/// elsewhere only after they saw that this node is not ready.
-constexpr duration least_stop_time = std::chrono::milliseconds(2500);
-/// Callers that have no other node to go to are served meanwhile. What came
-/// in this time and lasts too long is nobody's fault; after it only calls are
-/// taken that can be finished.
-constexpr duration any_calls_time = std::chrono::milliseconds(2900);
-/// Calls that usually end by this long before the end are taken.
-constexpr duration last_answers_time = std::chrono::milliseconds(300);
-/// How often the settings file is looked at: it may change without a signal.
-constexpr duration file_interval = std::chrono::seconds(1);
 /// How often a node writes the state that its decisions come from.
 constexpr duration state_interval = std::chrono::seconds(5);
-/// Then each answer closes its connection for this long.
-constexpr duration least_closing_time = std::chrono::milliseconds(800);
-
 http_response plain(int status) {
     return {status, {}, ""};
 }
@@ -58,7 +44,7 @@
 
 relay_daemon::relay_daemon(relay_settings settings)
     : settings_(std::move(settings)), random_(make_random(random_seed())),
-      started_(steady_now()) {
+      stop_(settings_.stop_time), started_(steady_now()) {
     store_client_ =
         std::make_unique<io::http_client>(loop_, store_idle_connections);
     members_ = std::make_unique<coordination::membership>(
@@ -92,7 +78,8 @@
     agent_->start();
     loop_.on_stop_signal([this] { begin_stop(); });
     loop_.on_reload_signal([this] { reload(); });
-    look_at_file();
+    file_ = std::make_unique<settings_file>(loop_, settings_.file,
+                                            [this] { reload(); });
 }
 
 void relay_daemon::open_servers() {
@@ -148,177 +135,6 @@
     log_event(log_channel::node, log_level::info, "stopped");
 }
 
-// Hooks ---------------------------------------------------------------------
-
-coordination::membership::hooks relay_daemon::membership_hooks() {
-    coordination::membership::hooks h;
-    h.send = [this](const coordination::address& to,
-                    const coordination::datagram& message) {
-        datagrams_->send(to, message);
-    };
-    h.exchange_views = [this](const member_record& with) {
-        send_view(with, true);
-    };
-    h.on_change = [this](const member_record& record) { on_member(record); };
-    h.on_config = [this](const member_record& from,
-                         const coordination::config_news& news) {
-        configs_->on_news(steady_now(), from, news);
-    };
-    h.on_config_mismatch = [this](const member_record& with) {
-        configs_->exchange(with);
-    };
-    h.generation_of = [this](const graph_name& graph) {
-        const auto* known = configs_->find(graph);
-        return known == nullptr ? 0 : known->generation;
-    };
-    h.on_census = [](const node_life&, const coordination::config_news&) {};
-    h.random = random_;
-    return h;
-}
-
-coordination::config_spread::hooks relay_daemon::spread_hooks() {
-    coordination::config_spread::hooks h;
-    h.send = [this](const member_record& to,
-                    const coordination::frame& message) {
-        links_->send(to, message);
-    };
-    h.spread = [this](const coordination::config_news& news) {
-        members_->set_config_digest(configs_->content_digest());
-        members_->spread(news);
-    };
-    h.on_accept = [this](const config_frame& config) { on_policy(config); };
-    return h;
-}
-
-relay::sender::hooks relay_daemon::sender_hooks() {
-    relay::sender::hooks h;
-    h.send = [this](const node_name& to, const relay_call_frame& call) {
-        if (to == settings_.self.id.name) {
-            loop_.defer([this, call] {
-                runner_->on_call(steady_now(), settings_.self.id, call);
-                wake();
-            });
-            return;
-        }
-        const auto* record = members_->find(to);
-        if (record != nullptr) {
-            links_->send(*record, call);
-            return;
-        }
-        loop_.defer(
-            [this, to] { sender_->on_unreachable(steady_now(), to, false); });
-    };
-    h.cancel = [this](const node_name& to,
-                      const coordination::cancel_frame& cancel) {
-        if (to == settings_.self.id.name) {
-            runner_->on_cancel(steady_now(), settings_.self.id,
-                               cancel.sequence);
-            return;
-        }
-        const auto* record = members_->find(to);
-        if (record != nullptr)
-            links_->send(*record, cancel);
-    };
-    h.answer = [this](relay::exchange_id exchange,
-                      const relay::call_answer& answer) {
-        outbound_->respond(exchange, platform_adapter::encode_answer(answer));
-    };
-    h.on_event = [this](const relay::call_event& event) {
-        log_.call(steady_now(), event);
-    };
-    h.on_ended = [this](const relay::ended_call& call) {
-        metrics_.on_call(call);
-    };
-    h.repeat_share = [this] { return runner_->repeat_share(); };
-    h.random = random_;
-    return h;
-}
-
-relay::runner::hooks relay_daemon::runner_hooks() {
-    relay::runner::hooks h;
-    h.dispatch = [this](const relay::target_call& call) { dispatch(call); };
-    h.abort = [this](std::uint64_t execution) {
-        const auto it = at_target_.find(execution);
-        if (it == at_target_.end())
-            return;
-        target_->cancel(it->second);
-        at_target_.erase(it);
-    };
-    h.reply = [this](const node_life& to, const relay_reply_frame& reply) {
-        if (to == settings_.self.id) {
-            loop_.defer([this, reply] { receive(settings_.self.id, reply); });
-            return;
-        }
-        links_->send_back(to, reply);
-    };
-    h.strains_below = [this](time_point now, const std::string& route) {
-        return sender_->strains_below(now, route);
-    };
-    h.on_run = [this](time_point now, const std::string& route) {
-        sender_->on_run(now, route);
-    };
-    h.on_target = [this](target_state state, std::uint32_t slots) {
-        on_target(state, slots);
-    };
-    h.on_event = [this](const relay::call_event& event) {
-        log_.call(steady_now(), event);
-    };
-    h.on_ended = [this](const relay::ended_run& run) { metrics_.on_run(run); };
-    return h;
-}
-
-peer_links::hooks relay_daemon::link_hooks() {
-    peer_links::hooks h;
-    h.on_frame = [this](const node_life& from,
-                        const coordination::frame& message) {
-        on_frame(from, message);
-    };
-    h.on_down = [this](const node_life& node, bool was_connected) {
-        sender_->on_unreachable(steady_now(), node.name, was_connected);
-        wake();
-    };
-    h.on_caller_gone = [this](const node_life& node) {
-        runner_->on_caller_gone(steady_now(), node);
-        wake();
-    };
-    h.on_rejected = [](const std::string& why) {
-        log_event(log_channel::peer, log_level::warn, "link_rejected",
-                  {{"why", why}});
-    };
-    h.random = random_;
-    return h;
-}
-
-platform_agent::hooks relay_daemon::agent_hooks() {
-    platform_agent::hooks h;
-    h.after = [this](duration delay, std::function<void()> callback) {
-        loop_.after(delay, std::move(callback));
-    };
-    h.random = random_;
-    h.on_config = [this](const std::string& text) {
-        offer_config(text);
-        wake();
-    };
-    h.is_holder = [this] {
-        const auto holders = coordination::choose_holders(
-            members_->live_in(settings_.self.domain), "configuration",
-            settings_.agent.holders);
-        return std::find(holders.begin(), holders.end(),
-                         settings_.self.id.name) != holders.end();
-    };
-    h.on_contact = [this](const coordination::address& where) {
-        members_->add_contact(where);
-    };
-    h.live_peers = [this] { return members_->live_count(); };
-    h.on_store = [](bool is_back, const absl::Status& status) {
-        log_event(log_channel::store, log_level::warn,
-                  is_back ? "store_regained" : "store_lost",
-                  {{"why", std::string(to_string(code_of(status)))},
-                   {"detail", std::string(status.message())}});
-    };
-    return h;
-}
-
 // Calls -----------------------------------------------------------------------
 
 void relay_daemon::on_outbound(io::stream_server::arrival arrival) {
@@ -499,7 +315,7 @@
 }
 
 bool relay_daemon::is_ready() const {
-    if (is_stopping_ || sender_->policy_version() == 0)
+    if (stop_.has_begun() || sender_->policy_version() == 0)
         return false;
     return members_->live_count() > 0 || steady_now() - started_ > alone_after;
 }
@@ -580,31 +396,16 @@
                   {{"why", std::string(read.status().message())}});
         return;
     }
-    settings_.stop_time = read->stop_time;
+    stop_.set_limit(read->stop_time);
     settings_.sender.repeats = read->sender.repeats;
     sender_->set_repeats(read->sender.repeats);
     log_event(log_channel::node, log_level::info, "settings_reloaded");
 }
 
-void relay_daemon::look_at_file() {
-    if (settings_.file.empty())
-        return;
-    std::error_code ec;
-    const auto changed = std::filesystem::last_write_time(settings_.file, ec);
-    const bool is_first = file_time_ == std::filesystem::file_time_type{};
-    if (!ec && changed != file_time_) {
-        file_time_ = changed;
-        if (!is_first)
-            reload();
-    }
-    loop_.after(file_interval, [this] { look_at_file(); });
-}
-
 void relay_daemon::begin_stop() {
-    if (is_stopping_)
+    if (stop_.has_begun())
         return;
-    is_stopping_ = true;
-    stop_since_ = steady_now();
+    stop_.begin(steady_now());
     log_event(log_channel::node, log_level::info, "stopping",
               {{"open_calls", sender_->open_calls()},
                {"running_calls", runner_->open_calls()}});
@@ -614,20 +415,19 @@
 }
 
 void relay_daemon::check_stop() {
-    const auto passed = steady_now() - stop_since_;
-    if (passed > least_stop_time)
-        outbound_->close_gradually();
-    if (passed > std::min(any_calls_time, settings_.stop_time / 2))
-        sender_->stop_by(stop_since_ + settings_.stop_time - last_answers_time);
+    const auto now = steady_now();
     const bool is_idle = sender_->open_calls() == 0 &&
                          runner_->open_calls() == 0 &&
                          outbound_->open_exchanges() == 0;
-    if ((is_idle && passed > least_stop_time + least_closing_time) ||
-        passed > settings_.stop_time) {
-        members_->leave(steady_now());
-        loop_.after(stop_poll, [this] { loop_.stop(); });
+    if (stop_.is_over(now, is_idle)) {
+        members_->leave(now);
+        loop_.stop();
         return;
     }
+    if (stop_.closes_connections(now))
+        outbound_->close_gradually();
+    if (const auto end = stop_.takes_until(now))
+        sender_->stop_by(*end);
     loop_.after(stop_poll, [this] { check_stop(); });
 }
 
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -9,7 +9,6 @@
 #include <redwingwind/relay/runner.hpp>
 #include <redwingwind/relay/sender.hpp>
 
-#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,10 +16,12 @@
 
 #include "datagram_socket.hpp"
 #include "peer_links.hpp"
+#include "planned_stop.hpp"
 #include "platform_agent.hpp"
 #include "relay_log.hpp"
 #include "relay_metrics.hpp"
 #include "relay_settings.hpp"
+#include "settings_file.hpp"
 
 namespace redwingwind::node {
 
@@ -75,7 +76,6 @@
     void wake();
     void tick();
     void reload();
-    void look_at_file();
     void begin_stop();
     void check_stop();
     void log_state();
@@ -104,11 +104,10 @@
     std::map<coordination::address, node_name> name_at_;
     io::reactor::timer_id timer_{};
     time_point timer_due_{};
+    planned_stop stop_;
     time_point started_;
     time_point policy_since_{};
-    time_point stop_since_{};
-    std::filesystem::file_time_type file_time_{};
-    bool is_stopping_{};
+    std::unique_ptr<settings_file> file_;
 };
 
 } // namespace redwingwind::node
--- /dev/null
+++ b/source/node/src/relay_hooks.cpp
@@ -0,0 +1,187 @@
+// What the parts of relay_daemon ask of each other.
+
+#include "relay_daemon.hpp"
+
+#include <redwingwind/coordination/rendezvous.hpp>
+#include <redwingwind/platform_adapter/calls.hpp>
+
+#include <algorithm>
+
+namespace redwingwind::node {
+
+using coordination::config_frame;
+using coordination::member_record;
+using coordination::relay_call_frame;
+using coordination::relay_reply_frame;
+using coordination::target_state;
+
+coordination::membership::hooks relay_daemon::membership_hooks() {
+    coordination::membership::hooks h;
+    h.send = [this](const coordination::address& to,
+                    const coordination::datagram& message) {
+        datagrams_->send(to, message);
+    };
+    h.exchange_views = [this](const member_record& with) {
+        send_view(with, true);
+    };
+    h.on_change = [this](const member_record& record) { on_member(record); };
+    h.on_config = [this](const member_record& from,
+                         const coordination::config_news& news) {
+        configs_->on_news(steady_now(), from, news);
+    };
+    h.on_config_mismatch = [this](const member_record& with) {
+        configs_->exchange(with);
+    };
+    h.generation_of = [this](const graph_name& graph) {
+        const auto* known = configs_->find(graph);
+        return known == nullptr ? 0 : known->generation;
+    };
+    h.on_census = [](const node_life&, const coordination::config_news&) {};
+    h.random = random_;
+    return h;
+}
+
+coordination::config_spread::hooks relay_daemon::spread_hooks() {
+    coordination::config_spread::hooks h;
+    h.send = [this](const member_record& to,
+                    const coordination::frame& message) {
+        links_->send(to, message);
+    };
+    h.spread = [this](const coordination::config_news& news) {
+        members_->set_config_digest(configs_->content_digest());
+        members_->spread(news);
+    };
+    h.on_accept = [this](const config_frame& config) { on_policy(config); };
+    return h;
+}
+
+relay::sender::hooks relay_daemon::sender_hooks() {
+    relay::sender::hooks h;
+    h.send = [this](const node_name& to, const relay_call_frame& call) {
+        if (to == settings_.self.id.name) {
+            loop_.defer([this, call] {
+                runner_->on_call(steady_now(), settings_.self.id, call);
+                wake();
+            });
+            return;
+        }
+        const auto* record = members_->find(to);
+        if (record != nullptr) {
+            links_->send(*record, call);
+            return;
+        }
+        loop_.defer(
+            [this, to] { sender_->on_unreachable(steady_now(), to, false); });
+    };
+    h.cancel = [this](const node_name& to,
+                      const coordination::cancel_frame& cancel) {
+        if (to == settings_.self.id.name) {
+            runner_->on_cancel(steady_now(), settings_.self.id,
+                               cancel.sequence);
+            return;
+        }
+        const auto* record = members_->find(to);
+        if (record != nullptr)
+            links_->send(*record, cancel);
+    };
+    h.answer = [this](relay::exchange_id exchange,
+                      const relay::call_answer& answer) {
+        outbound_->respond(exchange, platform_adapter::encode_answer(answer));
+    };
+    h.on_event = [this](const relay::call_event& event) {
+        log_.call(steady_now(), event);
+    };
+    h.on_ended = [this](const relay::ended_call& call) {
+        metrics_.on_call(call);
+    };
+    h.repeat_share = [this] { return runner_->repeat_share(); };
+    h.random = random_;
+    return h;
+}
+
+relay::runner::hooks relay_daemon::runner_hooks() {
+    relay::runner::hooks h;
+    h.dispatch = [this](const relay::target_call& call) { dispatch(call); };
+    h.abort = [this](std::uint64_t execution) {
+        const auto it = at_target_.find(execution);
+        if (it == at_target_.end())
+            return;
+        target_->cancel(it->second);
+        at_target_.erase(it);
+    };
+    h.reply = [this](const node_life& to, const relay_reply_frame& reply) {
+        if (to == settings_.self.id) {
+            loop_.defer([this, reply] { receive(settings_.self.id, reply); });
+            return;
+        }
+        links_->send_back(to, reply);
+    };
+    h.strains_below = [this](time_point now, const std::string& route) {
+        return sender_->strains_below(now, route);
+    };
+    h.on_run = [this](time_point now, const std::string& route) {
+        sender_->on_run(now, route);
+    };
+    h.on_target = [this](target_state state, std::uint32_t slots) {
+        on_target(state, slots);
+    };
+    h.on_event = [this](const relay::call_event& event) {
+        log_.call(steady_now(), event);
+    };
+    h.on_ended = [this](const relay::ended_run& run) { metrics_.on_run(run); };
+    return h;
+}
+
+peer_links::hooks relay_daemon::link_hooks() {
+    peer_links::hooks h;
+    h.on_frame = [this](const node_life& from,
+                        const coordination::frame& message) {
+        on_frame(from, message);
+    };
+    h.on_down = [this](const node_life& node, bool was_connected) {
+        sender_->on_unreachable(steady_now(), node.name, was_connected);
+        wake();
+    };
+    h.on_caller_gone = [this](const node_life& node) {
+        runner_->on_caller_gone(steady_now(), node);
+        wake();
+    };
+    h.on_rejected = [](const std::string& why) {
+        log_event(log_channel::peer, log_level::warn, "link_rejected",
+                  {{"why", why}});
+    };
+    h.random = random_;
+    return h;
+}
+
+platform_agent::hooks relay_daemon::agent_hooks() {
+    platform_agent::hooks h;
+    h.after = [this](duration delay, std::function<void()> callback) {
+        loop_.after(delay, std::move(callback));
+    };
+    h.random = random_;
+    h.on_config = [this](const std::string& text) {
+        offer_config(text);
+        wake();
+    };
+    h.is_holder = [this] {
+        const auto holders = coordination::choose_holders(
+            members_->live_in(settings_.self.domain), "configuration",
+            settings_.agent.holders);
+        return std::find(holders.begin(), holders.end(),
+                         settings_.self.id.name) != holders.end();
+    };
+    h.on_contact = [this](const coordination::address& where) {
+        members_->add_contact(where);
+    };
+    h.live_peers = [this] { return members_->live_count(); };
+    h.on_store = [](bool is_back, const absl::Status& status) {
+        log_event(log_channel::store, log_level::warn,
+                  is_back ? "store_regained" : "store_lost",
+                  {{"why", std::string(to_string(code_of(status)))},
+                   {"detail", std::string(status.message())}});
+    };
+    return h;
+}
+
+} // namespace redwingwind::node
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -20,11 +20,15 @@
     return false;
 }
 
+std::string relay_log::id_of(const relay::call_event& event) {
+    return event.id.value.substr(0, most_id_bytes);
+}
+
 void relay_log::call(time_point now, const relay::call_event& event) {
     if (!may_write(now))
         return;
     log_event(log_channel::call, log_level::info, std::string(event.what),
-              {{"request_id", event.id.value},
+              {{"request_id", id_of(event)},
                {"why", std::string(to_string(event.why))},
                {"service", event.service.value},
                {"peer", event.peer.value},
--- a/source/node/src/relay_log.hpp
+++ b/source/node/src/relay_log.hpp
@@ -4,7 +4,9 @@
 #include <redwingwind/common/time.hpp>
 #include <redwingwind/relay/call.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace redwingwind::node {
 
@@ -19,7 +21,11 @@
   private:
     /// Lines in a second, before lines are left out.
     static constexpr std::uint32_t most_lines = 40;
+    /// Callers choose their ids; longer ones are cut, so that a line is
+    /// always short enough to be written.
+    static constexpr std::size_t most_id_bytes = 256;
 
+    static std::string id_of(const relay::call_event& event);
     bool may_write(time_point now);
 
     time_point second_{};
--- a/source/overload/src/repeat_budget.cpp
+++ b/source/overload/src/repeat_budget.cpp
@@ -5,8 +5,9 @@
 namespace redwingwind::overload {
 namespace {
 
-/// Within a bucket so many may be spent at least, as long as they are left.
-constexpr double least_per_bucket = 2;
+/// Within a bucket so many may be spent at least, as long as they are left:
+/// a few calls need not be spread.
+constexpr double least_per_bucket = 10;
 
 } // namespace
 
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -22,6 +22,9 @@
 constexpr duration most_root_retry_after = std::chrono::milliseconds(600);
 /// What answers told of strain counts for this long.
 constexpr duration strain_memory = std::chrono::milliseconds(300);
+/// So long after a target's own calls to a service some repeats are left to
+/// them.
+constexpr duration nested_memory = std::chrono::seconds(1);
 /// A call is not passed on with less time left than this.
 constexpr duration least_time_left = std::chrono::milliseconds(5);
 
@@ -276,7 +279,10 @@
 void sender::shed(time_point now, open_call& it) {
     ++it.sheds;
     it.refused_for = error_code::target_shed;
-    const double reserve = it.is_nested ? 0 : options_.kept_for_nested;
+    const auto nested = nested_strains_.find(it.service);
+    const bool is_reserved = !it.is_nested && nested != nested_strains_.end() &&
+                             now - nested->second.at < nested_memory;
+    const double reserve = is_reserved ? options_.kept_for_nested : 0;
     if (it.sheds > options_.most_sheds ||
         !repeats_of(it.service).take(now, live_nodes_, reserve)) {
         give_up(now, it);
