relay: what is open when a node ends is answered, not cut

Change: at its limit the node answers what is open (502) and cancels it; a route's calls are taken to last its target latency at least.

Tests: answers_all_that_is_open_when_it_ends.

--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -22,6 +22,8 @@
 
 constexpr long store_idle_connections = 4;
 constexpr auto least_timer = std::chrono::milliseconds(1);
+/// For the last answers to leave.
+constexpr auto last_answers_time = std::chrono::milliseconds(50);
 constexpr auto stop_poll = std::chrono::milliseconds(50);
 constexpr std::size_t records_per_view_frame = 500;
 /// The operator's configuration is one graph as far as its spreading goes.
@@ -420,8 +422,9 @@
                          runner_->open_calls() == 0 &&
                          outbound_->open_exchanges() == 0;
     if (stop_.is_over(now, is_idle)) {
+        sender_->end_all(now);
         members_->leave(now);
-        loop_.stop();
+        loop_.after(last_answers_time, [this] { loop_.stop(); });
         return;
     }
     if (stop_.closes_connections(now))
--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -80,6 +80,8 @@
     void remove_target(const node_name& node);
     /// This node stops: it takes only calls that usually end by then.
     void stop_by(time_point end) { stops_at_ = end; }
+    /// The node is about to end: what is still open is answered now.
+    void end_all(time_point now);
     /// Strain of the services that a run of the route beside this node calls.
     std::vector<overload::service_strain>
     strains_below(time_point now, const std::string& route) const;
@@ -190,7 +192,7 @@
     std::unordered_map<service_name, overload::strain_meter> failures_;
     /// By route, as told by the nodes beside targets.
     std::unordered_map<std::string, bool> is_nested_;
-    /// By route, how long the slower ones of its calls take.
+    /// By route, how long the slower ones of its latest calls took.
     std::unordered_map<std::string, duration> slow_times_;
     time_point stops_at_{time_point::max()};
     std::uint64_t next_sequence_{1};
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -135,8 +135,11 @@
 }
 
 duration sender::slow_time(const route& rule) const {
+    // Few calls may have been seen, and none of the slow ones.
     const auto known = slow_times_.find(rule.name);
-    return known == slow_times_.end() ? rule.target_latency : known->second;
+    return known == slow_times_.end()
+               ? rule.target_latency
+               : std::max(rule.target_latency, known->second);
 }
 
 sender::open_call* sender::find(std::uint64_t sequence) {
@@ -429,6 +432,20 @@
     return all;
 }
 
+void sender::end_all(time_point now) {
+    while (!open_.empty()) {
+        auto& it = open_.begin()->second;
+        if (it.sequence != 0) {
+            const auto sequence = it.sequence;
+            leave_target(now, it, placed_end::neutral);
+            hooks_.cancel(it.at, {sequence});
+        }
+        it.may_have_run = true;
+        it.refused_for = error_code::draining;
+        give_up(now, it);
+    }
+}
+
 time_point sender::next_due() const {
     return due_.empty() ? time_point::max() : due_.top().at;
 }
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -291,6 +291,17 @@
     BOOST_TEST((node.answers.at(5).why == error_code::draining));
 }
 
+BOOST_AUTO_TEST_CASE(answers_all_that_is_open_when_it_ends) {
+    sending_node node;
+    node.it.on_call(start, call_to("/look/a", 1));
+    node.it.on_call(start, call_to("/buy/a", 2));
+    node.it.end_all(start + ms(100));
+    BOOST_TEST((node.answers.at(1).what == outcome::unknown));
+    BOOST_TEST((node.answers.at(2).what == outcome::unknown));
+    BOOST_TEST(node.cancelled.size() == 2U);
+    BOOST_TEST(node.it.open_calls() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(asks_the_last_target_again_when_it_may_ask_no_other) {
     sending_node node;
     for (int n = 0; n < 60; ++n) {
