--- a/source/integration/test/platform_test.cpp
+++ b/source/integration/test/platform_test.cpp
@@ -167,11 +167,12 @@
 BOOST_AUTO_TEST_CASE(is_counted_in_the_metrics) {
     places.send(0, "/front/", "r1");
     const auto text = places.metrics_of(0);
+    const auto* served = R"(redwingwind_calls_total{outcome="served",)"
+                         R"(priority="1",service="front"} 1)";
     for (const auto* line :
-         {"redwingwind_calls_total{outcome=\"served\",priority=\"1\",service="
-          "\"front\"} 1",
-          "redwingwind_configuration_version 1", "redwingwind_live_nodes 4",
-          "redwingwind_store_reached 1", "redwingwind_target_limit 7"})
+         {served, "redwingwind_configuration_version 1",
+          "redwingwind_live_nodes 4", "redwingwind_store_reached 1",
+          "redwingwind_target_limit 7"})
         BOOST_TEST(text.find(line) != std::string::npos, line);
 }
 
