--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -155,6 +155,8 @@
     void shed(time_point now, open_call& it);
     bool is_hopeless(time_point now, const open_call& it) const;
     void leave_target(time_point now, open_call& it, overload::placed_end end);
+    /// The call's target, if it is at one, need not go on with it.
+    void stop_at_target(time_point now, open_call& it);
     void note_strains(time_point now, const open_call& it,
                       const coordination::relay_reply_frame& reply);
     void refused(time_point now, open_call& it, error_code why,
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -191,6 +191,14 @@
     it.sequence = 0;
 }
 
+void sender::stop_at_target(time_point now, open_call& it) {
+    if (it.sequence == 0)
+        return;
+    const auto sequence = it.sequence;
+    leave_target(now, it, placed_end::neutral);
+    hooks_.cancel(it.at, {sequence});
+}
+
 void sender::on_reply(time_point now, const node_name& from,
                       relay_reply_frame reply) {
     auto* it = find(reply.sequence);
@@ -375,11 +383,7 @@
     if (found == open_.end())
         return;
     auto& it = found->second;
-    if (it.sequence != 0) {
-        const auto sequence = it.sequence;
-        leave_target(now, it, placed_end::neutral);
-        hooks_.cancel(it.at, {sequence});
-    }
+    stop_at_target(now, it);
     open_.erase(exchange);
 }
 
@@ -410,11 +414,7 @@
         if (found == open_.end())
             continue;
         auto& it = found->second;
-        if (it.sequence != 0) {
-            const auto sequence = it.sequence;
-            leave_target(now, it, placed_end::neutral);
-            hooks_.cancel(it.at, {sequence});
-        }
+        stop_at_target(now, it);
         it.may_have_run = true;
         it.refused_for = error_code::timed_out;
         give_up(now, it);
@@ -435,11 +435,7 @@
 void sender::end_all(time_point now) {
     while (!open_.empty()) {
         auto& it = open_.begin()->second;
-        if (it.sequence != 0) {
-            const auto sequence = it.sequence;
-            leave_target(now, it, placed_end::neutral);
-            hooks_.cancel(it.at, {sequence});
-        }
+        stop_at_target(now, it);
         it.may_have_run = true;
         it.refused_for = error_code::draining;
         give_up(now, it);
