integration, scripts: ports of a test are none that the system gives to connections

With the nodes' logs kept (RWW_TEST_LOGS, new) the node says: can't listen on 127.0.0.1:45549. free_ports bound to port 0, closed the socket and gave the number out; until its program bound it, any outgoing connection of the machine could be given the same number, as both come from the same range. The node was gone, and the fixture waited 20 s for a target that nobody knew.

Ruled out: gossip that does not converge (the three nodes that lived knew each other), a slow machine (the node ended 0.02 s after its start).

Change: port_block. The scripts choose theirs outside that range too. No check is removed or eased.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -23,23 +24,36 @@
     return json.loads(text)
 
 
+def system_port_range():
+    with open("/proc/sys/net/ipv4/ip_local_port_range",
+              encoding="ascii") as file:
+        first, last = file.read().split()
+    return range(int(first), int(last) + 1)
+
+
 def free_ports(count):
-    """Ports that are free for TCP and UDP; held together until all are
-    found, so none is given twice."""
-    held, ports = [], []
-    while len(ports) < count:
+    """Ports that are free for TCP and UDP. They lie outside the range from
+    which the system numbers outgoing connections, so none of these takes one
+    before its program is started."""
+    own, held, ports = system_port_range(), [], []
+    candidates = [it for it in range(10240, 65536) if it not in own]
+    random.shuffle(candidates)
+    for port in candidates:
+        if len(ports) == count:
+            break
         tcp = socket.socket()
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         held += [tcp, udp]
         try:
+            tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
         except OSError:
             continue
         ports.append(port)
     for it in held:
         it.close()
+    if len(ports) < count:
+        raise RuntimeError(f"no {count} ports are free")
     return ports
 
 
--- a/source/integration/test/faults_test.cpp
+++ b/source/integration/test/faults_test.cpp
@@ -13,10 +13,9 @@
 /// Four nodes that reach each other only through fault proxies.
 struct nodes_behind_proxies {
     nodes_behind_proxies() {
-        const auto ports = free_ports(4);
         deployment_options options;
         options.services = {"front", "back", "front", "back"};
-        options.advertised = ports;
+        options.advertised = ports.all();
         places = std::make_unique<deployment>(http, options);
         for (std::size_t n = 0; n < ports.size(); ++n)
             proxies.push_back(std::make_unique<process>(
@@ -47,6 +46,7 @@
     }
 
     http_caller http;
+    port_block ports{4};
     std::unique_ptr<deployment> places;
     std::vector<std::unique_ptr<process>> proxies;
 };
@@ -214,7 +214,7 @@
     http_caller http;
     deployment places(http, {{"front", "back"}, "", {}, {}});
     BOOST_REQUIRE(places.wait_together(2, 2));
-    const auto ports = free_ports(3);
+    const port_block ports(3);
     process stranger(
         "redwingwind-node",
         {"--keys=1:ffffffffffffffffffffffffffffffff", "--name=stranger",
--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto keys = "1:000102030405060708090a0b0c0d0e0f";
 constexpr auto host = "shop.example";
+constexpr std::size_t ports_per_node = 5;
 constexpr duration limit = std::chrono::seconds(20);
 
 std::string local(std::uint16_t port) {
@@ -88,19 +89,18 @@
                                          std::vector<std::string> services)
     : http_(http), store_("stand-in-platform", {}, true),
       store_url_("http://" + local(store_.port())),
-      services_(std::move(services)) {
-    constexpr std::size_t ports_per_node = 5;
-    const auto ports = free_ports(ports_per_node * services_.size());
+      services_(std::move(services)),
+      ports_(ports_per_node * services_.size()) {
     for (std::size_t n = 0; n < services_.size(); ++n) {
         auto place = std::make_unique<platform_place>();
         place->service = services_[n];
         place->domain = "d" + std::to_string(n % 2);
         place->instance = "i-" + std::to_string(n);
-        place->outbound = ports[ports_per_node * n];
-        place->readiness = ports[ports_per_node * n + 1];
-        place->announce = ports[ports_per_node * n + 2];
-        place->peer = ports[ports_per_node * n + 3];
-        place->metrics = ports[ports_per_node * n + 4];
+        place->outbound = ports_[ports_per_node * n];
+        place->readiness = ports_[ports_per_node * n + 1];
+        place->announce = ports_[ports_per_node * n + 2];
+        place->peer = ports_[ports_per_node * n + 3];
+        place->metrics = ports_[ports_per_node * n + 4];
         place->target = std::make_unique<test_target>(http_.loop());
         place->settings_file =
             (std::filesystem::temp_directory_path() /
--- a/source/integration/test/platform_places.hpp
+++ b/source/integration/test/platform_places.hpp
@@ -109,6 +109,7 @@
     process store_;
     std::string store_url_;
     std::vector<std::string> services_;
+    port_block ports_;
     std::vector<std::unique_ptr<platform_place>> places_;
 };
 
--- a/source/integration/test/processes.cpp
+++ b/source/integration/test/processes.cpp
@@ -1,10 +1,7 @@
 #include "processes.hpp"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,6 +15,7 @@
 namespace redwingwind::integration {
 namespace {
 
+constexpr std::size_t ports_per_place = 4;
 constexpr auto keys = "1:000102030405060708090a0b0c0d0e0f";
 
 std::string program_path(const std::string& name) {
@@ -25,6 +23,16 @@
     return (self.parent_path() / name).string();
 }
 
+/// Where a program's log goes: nowhere, unless RWW_TEST_LOGS names a folder.
+std::string log_path(const std::string& program) {
+    const char* folder = std::getenv("RWW_TEST_LOGS");
+    if (folder == nullptr)
+        return "/dev/null";
+    static int started = 0;
+    return std::string(folder) + "/" + std::to_string(getpid()) + "-" +
+           std::to_string(++started) + "-" + program + ".log";
+}
+
 std::uint16_t read_port(int fd) {
     std::string text;
     char c = 0;
@@ -47,10 +55,13 @@
         throw std::runtime_error("no pipe");
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
+    const auto log = log_path(program);
+    constexpr int readable = 0644;
     if (prints_port)
         posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
     else
-        posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
+        posix_spawn_file_actions_addopen(
+            &actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, readable);
     if (std::getenv("RWW_TEST_VERBOSE") == nullptr)
         posix_spawn_file_actions_addopen(&actions, 2, "/dev/null", O_WRONLY, 0);
     char* no_environment[] = {nullptr};
@@ -95,28 +106,6 @@
     return exit_code_;
 }
 
-std::vector<std::uint16_t> free_ports(std::size_t count) {
-    std::vector<std::uint16_t> ports;
-    std::vector<int> held;
-    while (ports.size() < count) {
-        const int tcp = socket(AF_INET, SOCK_STREAM, 0);
-        const int udp = socket(AF_INET, SOCK_DGRAM, 0);
-        held.insert(held.end(), {tcp, udp});
-        sockaddr_in where{};
-        where.sin_family = AF_INET;
-        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t n = sizeof(where);
-        auto* generic = reinterpret_cast<sockaddr*>(&where);
-        if (bind(tcp, generic, n) != 0 || getsockname(tcp, generic, &n) != 0)
-            continue;
-        if (bind(udp, generic, n) == 0)
-            ports.push_back(ntohs(where.sin_port));
-    }
-    for (const int fd : held)
-        close(fd);
-    return ports;
-}
-
 // Calls -----------------------------------------------------------------------
 
 std::shared_ptr<io::http_result>
@@ -198,15 +187,15 @@
 }
 
 deployment::deployment(http_caller& http, deployment_options options)
-    : http_(http), options_(std::move(options)) {
+    : http_(http), options_(std::move(options)),
+      ports_(ports_per_place * options_.services.size()) {
     const auto count = options_.services.size();
-    const auto ports = free_ports(4 * count);
     for (std::size_t n = 0; n < count; ++n) {
         auto place = std::make_unique<node_place>();
-        place->call = ports[4 * n];
-        place->peer = ports[4 * n + 1];
-        place->local = ports[4 * n + 2];
-        place->target = ports[4 * n + 3];
+        place->call = ports_[ports_per_place * n];
+        place->peer = ports_[ports_per_place * n + 1];
+        place->local = ports_[ports_per_place * n + 2];
+        place->target = ports_[ports_per_place * n + 3];
         place->service = options_.services[n];
         place->domain = "d" + std::to_string(n % 3);
         places_.push_back(std::move(place));
--- a/source/integration/test/processes.hpp
+++ b/source/integration/test/processes.hpp
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "port_block.hpp"
+
 namespace redwingwind::integration {
 
 /// A child process that ends with this object.
@@ -39,9 +41,6 @@
     std::uint16_t port_{};
 };
 
-/// Ports that were free for TCP and UDP a moment ago.
-std::vector<std::uint16_t> free_ports(std::size_t count);
-
 /// Calls over HTTP, one at a time or several open at once.
 class http_caller {
   public:
@@ -116,6 +115,7 @@
   private:
     http_caller& http_;
     deployment_options options_;
+    port_block ports_;
     std::vector<std::unique_ptr<node_place>> places_;
 };
 
