io: descriptors don't wait for timers without end

ACE's dev-poll reactor runs one due timer a turn and looks at descriptors only when no timer is due. While timers come due as fast as they are run, nothing is read or written at all.

Ruled out, by reading: a stale number of a closed socket in our epoll set (all three users take their watch away before they close), a partial frame left in a link's buffer, a flush that is marked due and not done.

Change: after each turn of the loop descriptors are looked at when the last look was more than 5 ms ago.

Test: an_event_loop/sees_descriptors_while_timers_are_always_due, fails before (nothing read in 5 s), passes after.

Conclusion: a real fault of the loop.

--- a/source/io/src/reactor.cpp
+++ b/source/io/src/reactor.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t ace_descriptors = 1024;
 /// Ready descriptors taken by one wait.
 constexpr int batch_size = 256;
+/// ACE runs one timer that is due and looks at descriptors only when none
+/// is. Descriptors wait no longer than this for timers.
+constexpr duration most_unpolled = std::chrono::milliseconds(5);
 
 ACE_Time_Value to_ace(duration d) {
     const auto n = std::max<duration::rep>(d.count(), 0);
@@ -59,6 +62,9 @@
     ACE_HANDLE get_handle() const override { return set_; }
     int handle_input(ACE_HANDLE) override;
     void run_deferred();
+    /// Once round the loop: events, for at most this long, and what they
+    /// left to do.
+    void turn(ACE_Time_Value* wait);
     void bury(descriptor_handler* handler);
 
     // ACE_Sig_Handler looks at its handlers when it ends.
@@ -73,6 +79,7 @@
     /// Watches that ended; events of the same wait may still name them.
     std::vector<std::unique_ptr<descriptor_handler>> ended_;
     reactor::timer_id next_timer_{1};
+    time_point polled_{};
     bool is_stopped_{};
     bool is_dispatching_{};
 };
@@ -127,6 +134,7 @@
 int reactor_impl::handle_input(ACE_HANDLE) {
     std::array<epoll_event, batch_size> ready;
     const int n = ::epoll_wait(set_, ready.data(), batch_size, 0);
+    polled_ = steady_now();
     is_dispatching_ = true;
     for (int it = 0; it < n; ++it) {
         const auto& event = ready[static_cast<std::size_t>(it)];
@@ -151,6 +159,13 @@
     }
 }
 
+void reactor_impl::turn(ACE_Time_Value* wait) {
+    ace_.handle_events(wait);
+    if (steady_now() - polled_ > most_unpolled)
+        handle_input(set_);
+    run_deferred();
+}
+
 descriptor_watch::descriptor_watch(reactor_impl* owner, int fd,
                                    callback on_ready)
     : handler_(new descriptor_handler(owner, fd, std::move(on_ready))) {}
@@ -281,10 +296,8 @@
 void reactor::run() {
     impl_->is_stopped_ = false;
     impl_->run_deferred();
-    while (!impl_->is_stopped_) {
-        impl_->ace_.handle_events();
-        impl_->run_deferred();
-    }
+    while (!impl_->is_stopped_)
+        impl_->turn(nullptr);
 }
 
 bool reactor::run_until(const std::function<bool()>& condition,
@@ -296,8 +309,7 @@
         if (left <= duration::zero())
             return false;
         auto wait = to_ace(left);
-        impl_->ace_.handle_events(&wait);
-        impl_->run_deferred();
+        impl_->turn(&wait);
     }
     return true;
 }
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -229,6 +229,27 @@
     close(ends[0]);
 }
 
+BOOST_AUTO_TEST_CASE(sees_descriptors_while_timers_are_always_due) {
+    reactor loop;
+    int ends[2] = {-1, -1};
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+    bool is_read = false;
+    descriptor_watch watch = loop.watch(ends[0], [&](bool, bool) {
+        is_read = true;
+        watch.want(false, false);
+    });
+    watch.want(true, false);
+    const std::function<void()> again = [&] {
+        loop.after(duration::zero(), again);
+    };
+    again();
+    BOOST_REQUIRE(write(ends[1], "x", 1) == 1);
+    BOOST_TEST(loop.run_until([&] { return is_read; }, patience));
+    watch.reset();
+    close(ends[0]);
+    close(ends[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_server)
