node: a link's late end no longer takes the calls of the next one; replies without a way back are logged

When a node opens its link to another one again, the other may see the end of the first link after calls came on the second (a lost packet, one batch of events). It then told the runner that the caller is gone, and the runner gave up all calls of that caller, the new ones too: those that waited vanished without an answer, those that ran were stopped or never answered, and their caller waited for them until its process ended or the time was over. On the other side, the late end of a link to an earlier life of a node failed the calls that were placed with its next life, which has the same name.

Ruled out: comparing the sequence of calls in the runner, as a caller's numbers rise over all its links (the order of the two ends is enough).

Tests: links_of_a_node, three cases; without the change of the greeting the first fails, the others call what did not exist.

--- a/source/node/src/peer_links.cpp
+++ b/source/node/src/peer_links.cpp
@@ -138,8 +138,11 @@
 
     void send_back(const node_life& to, const frame& message) {
         const auto found = accepted_.find(to);
-        if (found == accepted_.end())
+        if (found == accepted_.end()) {
+            if (hooks_.on_undelivered)
+                hooks_.on_undelivered(to);
             return;
+        }
         queue(*links_.at(found->second), message);
     }
 
@@ -150,6 +153,16 @@
             close(it->second);
     }
 
+    void keep_only(const node_life& node) {
+        std::vector<std::uint64_t> others;
+        for (auto it = opened_.lower_bound({node.name, {}});
+             it != opened_.end() && it->first.name == node.name; ++it)
+            if (it->first != node)
+                others.push_back(it->second);
+        for (const auto id : others)
+            close(id);
+    }
+
     link_counters counters;
     std::size_t open_links() const { return links_.size(); }
 
@@ -411,6 +424,11 @@
             close(id);
             return false;
         }
+        // Who opens again has given up the one before. Its end may be seen
+        // late, when calls came on the new one already.
+        if (const auto before = accepted_.find(hello->node);
+            !it.is_opener && before != accepted_.end())
+            close(before->second);
         it.peer = hello->node;
         it.peer_nonce = hello->nonce;
         it.is_greeted = true;
@@ -507,6 +525,10 @@
     impl_->drop(node);
 }
 
+void peer_links::keep_only(const node_life& node) {
+    impl_->keep_only(node);
+}
+
 const link_counters& peer_links::counters() const {
     return impl_->counters;
 }
--- a/source/node/src/peer_links.hpp
+++ b/source/node/src/peer_links.hpp
@@ -44,6 +44,9 @@
         /// A connection that another node opened ended; may be empty.
         std::function<void(const node_life&)> on_caller_gone;
         std::function<void(const std::string& why)> on_rejected;
+        /// A reply to this node was dropped, as its connection is gone; may
+        /// be empty.
+        std::function<void(const node_life&)> on_undelivered;
         random_hook random;
     };
 
@@ -63,6 +66,9 @@
     /// Over a connection that the other node opened; dropped without one.
     void send_back(const node_life& to, const coordination::frame& message);
     void drop(const node_life& node);
+    /// This life of the node is the one that lives: connections that were
+    /// opened to others of its name end now, before anything is sent to it.
+    void keep_only(const node_life& node);
 
     const link_counters& counters() const;
     std::size_t open_links() const;
--- a/source/node/src/relay_hooks.cpp
+++ b/source/node/src/relay_hooks.cpp
@@ -150,6 +150,10 @@
         log_event(log_channel::peer, log_level::warn, "link_rejected",
                   {{"why", why}});
     };
+    h.on_undelivered = [](const node_life& to) {
+        log_event(log_channel::peer, log_level::warn, "reply_undelivered",
+                  {{"to", to.name.value}});
+    };
     h.random = random_;
     return h;
 }
--- /dev/null
+++ b/source/node/test/peer_links_test.cpp
@@ -0,0 +1,111 @@
+#include "peer_links.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace redwingwind;
+using namespace redwingwind::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration patience = 5s;
+const auto keys =
+    *coordination::keyring::parse("1:000102030405060708090a0b0c0d0e0f");
+
+node_life life(const std::string& name, std::uint64_t number) {
+    return {node_name{name}, incarnation{number}};
+}
+
+/// One node's links, and what they tell it, in order.
+struct end_of_links {
+    end_of_links(io::reactor& loop, const node_life& who) : self(who) {
+        peer_links::hooks h;
+        h.on_frame = [this](const node_life& from,
+                            const coordination::frame& message) {
+            const auto& cancel = std::get<coordination::cancel_frame>(message);
+            seen.push_back("frame " + std::to_string(cancel.sequence) +
+                           " from " + from.name.value);
+        };
+        h.on_down = [this](const node_life& node, bool) {
+            seen.push_back("down " + node.name.value + " " +
+                           std::to_string(node.life.value));
+        };
+        h.on_caller_gone = [this](const node_life& node) {
+            seen.push_back("gone " + node.name.value);
+        };
+        h.on_undelivered = [this](const node_life& node) {
+            seen.push_back("undelivered " + node.name.value);
+        };
+        h.random = make_random(who.life.value);
+        links.emplace(loop, keys, self, coordination::address{"127.0.0.1", 0},
+                      link_options{}, std::move(h));
+    }
+
+    coordination::member_record record() const {
+        coordination::member_record it;
+        it.id = self;
+        it.where = {"127.0.0.1", links->port()};
+        return it;
+    }
+
+    node_life self;
+    std::vector<std::string> seen;
+    std::optional<peer_links> links;
+};
+
+struct three_ends {
+    bool wait_seen(const end_of_links& at, std::size_t n) {
+        return loop.run_until([&] { return at.seen.size() >= n; }, patience);
+    }
+
+    io::reactor loop;
+    end_of_links target{loop, life("target", 1)};
+    /// The same life twice: its first connection ends late, as when the last
+    /// packet of it was lost.
+    end_of_links caller{loop, life("caller", 2)};
+    end_of_links caller_again{loop, life("caller", 2)};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(links_of_a_node, three_ends)
+
+BOOST_AUTO_TEST_CASE(end_with_the_next_one_of_their_opener) {
+    caller.links->send(target.record(), coordination::cancel_frame{1});
+    BOOST_REQUIRE(wait_seen(target, 1));
+    caller_again.links->send(target.record(), coordination::cancel_frame{2});
+    BOOST_REQUIRE(wait_seen(target, 3));
+    // The end of the first one comes before what the second one brings.
+    const std::vector<std::string> wanted{"frame 1 from caller", "gone caller",
+                                          "frame 2 from caller"};
+    BOOST_TEST(target.seen == wanted, boost::test_tools::per_element());
+    caller.links->drop(target.self);
+    BOOST_TEST(!loop.run_until([&] { return target.seen.size() > 3; }, 200ms));
+    target.links->send_back(caller.self, coordination::cancel_frame{3});
+    BOOST_TEST(wait_seen(caller_again, 1));
+}
+
+BOOST_AUTO_TEST_CASE(end_when_another_life_took_the_name) {
+    end_of_links next_life(loop, life("target", 3));
+    caller.links->send(target.record(), coordination::cancel_frame{1});
+    BOOST_REQUIRE(wait_seen(target, 1));
+    caller.links->keep_only(target.self);
+    BOOST_TEST(caller.seen.empty());
+    caller.links->keep_only(next_life.self);
+    BOOST_REQUIRE(wait_seen(caller, 1));
+    BOOST_TEST(caller.seen[0] == "down target 1");
+    caller.links->send(next_life.record(), coordination::cancel_frame{2});
+    BOOST_TEST(wait_seen(next_life, 1));
+}
+
+BOOST_AUTO_TEST_CASE(tell_of_a_reply_that_has_no_way_back) {
+    target.links->send_back(caller.self, coordination::cancel_frame{1});
+    BOOST_REQUIRE(target.seen.size() == 1U);
+    BOOST_TEST(target.seen[0] == "undelivered caller");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
