overload: waiting counts nested calls and those from outside each by their own time

Cause: the gate smoothed one usual time over all calls of a target. On the grown sites the deepest service runs calls from outside for 1,300 ms and calls of running work for 81 ms, useful for 300 ms. The mixed time, about half a second, said that a nested call that waits can't be served in time any more, so each that met no free slot was turned away at once, and its parent's work was lost; and it put the rate at which slots become free at half of what it was.

Ruled out: a longer share of the time for waiting (wait_share), as the last useful start was in the past whatever the share; a time per route (the two kinds explain the load, and a route's kind is learned, too).

Change: usual time and running calls by kind; slots become free at the sum of both kinds' rates.

Test: a_target_with_ten_slots/lets_short_calls_of_running_work_wait_for_a_slot, a target of 58 slots full of long calls and 60 short ones a second on the virtual clock.

--- a/source/overload/include/redwingwind/overload/target_gate.hpp
+++ b/source/overload/include/redwingwind/overload/target_gate.hpp
@@ -90,6 +90,18 @@
         time_point latest_start;
     };
 
+    /// Calls from outside and those of running work may differ in length by
+    /// an order of magnitude.
+    struct kind_of_call {
+        std::size_t running{};
+        /// Smoothed time at the target, in seconds.
+        double usual_time{0.05};
+
+        /// Slots that these give free in a second.
+        double rate() const;
+    };
+
+    kind_of_call& of(bool is_nested);
     static bool goes_before(const gate_call& a, const gate_call& b);
     time_point latest_start(time_point now, const gate_call& call) const;
     duration expected_wait(std::size_t place) const;
@@ -103,9 +115,8 @@
     std::vector<waiting_call> waiting_;
     /// By id, whether it is nested.
     std::unordered_map<std::uint64_t, bool> running_;
-    std::size_t direct_running_{};
-    /// Smoothed time at the target, in seconds.
-    double usual_time_{0.05};
+    kind_of_call direct_;
+    kind_of_call nested_;
 };
 
 } // namespace redwingwind::overload
--- a/source/overload/src/target_gate.cpp
+++ b/source/overload/src/target_gate.cpp
@@ -12,6 +12,9 @@
 /// A call that waits is expected to need at least this share of the usual
 /// time at the target.
 constexpr double least_service_share = 0.7;
+constexpr double least_time_s = 1e-4;
+/// Slots a second that are counted on at least.
+constexpr double least_rate = 1e-3;
 /// Callers that are turned away are not told to come back sooner.
 constexpr duration least_retry_after = std::chrono::milliseconds(50);
 
@@ -22,6 +25,14 @@
 
 } // namespace
 
+double target_gate::kind_of_call::rate() const {
+    return static_cast<double>(running) / std::max(usual_time, least_time_s);
+}
+
+target_gate::kind_of_call& target_gate::of(bool is_nested) {
+    return is_nested ? nested_ : direct_;
+}
+
 std::uint32_t target_gate::limit() const {
     const double usable = options_.slots * options_.usable_share;
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable));
@@ -34,7 +45,8 @@
 
 time_point target_gate::latest_start(time_point now,
                                      const gate_call& call) const {
-    const auto service = to_duration(usual_time_ * least_service_share);
+    const double usual = (call.is_nested ? nested_ : direct_).usual_time;
+    const auto service = to_duration(usual * least_service_share);
     const auto useful = std::min(call.latest_useful, call.deadline);
     const auto wait =
         std::min(to_duration(seconds(useful - now) * options_.wait_share),
@@ -43,8 +55,10 @@
 }
 
 duration target_gate::expected_wait(std::size_t place) const {
-    const double rate = limit() / std::max(usual_time_, 1e-4);
-    return to_duration(static_cast<double>(place + 1) / rate);
+    // Slots that become free in a second.
+    const double rate = direct_.rate() + nested_.rate();
+    return to_duration(static_cast<double>(place + 1) /
+                       std::max(rate, least_rate));
 }
 
 gate_steps target_gate::arrive(time_point now, const gate_call& call) {
@@ -85,13 +99,13 @@
 
 void target_gate::begin(const gate_call& call, gate_steps& steps) {
     running_.emplace(call.id, call.is_nested);
-    direct_running_ += call.is_nested ? 0 : 1;
+    ++of(call.is_nested).running;
     steps.start.push_back(call.id);
 }
 
 std::size_t target_gate::next_to_start() const {
     const bool has_room =
-        static_cast<double>(direct_running_) < options_.direct_share * limit();
+        static_cast<double>(direct_.running) < options_.direct_share * limit();
     if (!has_room || !waiting_.front().call.is_nested)
         return 0;
     const auto direct =
@@ -114,9 +128,10 @@
 gate_steps target_gate::finish(time_point now, std::uint64_t id,
                                duration took) {
     if (const auto it = running_.find(id); it != running_.end()) {
-        direct_running_ -= it->second ? 0 : 1;
+        auto& kind = of(it->second);
+        --kind.running;
+        kind.usual_time += time_weight * (seconds(took) - kind.usual_time);
         running_.erase(it);
-        usual_time_ += time_weight * (seconds(took) - usual_time_);
     }
     auto steps = expire(now);
     fill(steps);
--- a/source/overload/test/target_gate_test.cpp
+++ b/source/overload/test/target_gate_test.cpp
@@ -119,6 +119,61 @@
     BOOST_TEST(gate.load().queued == 0U);
 }
 
+/// Long calls from outside take all slots all the time; short ones of running
+/// work, whose answers are useful for 300 ms only, need a tenth of them.
+BOOST_AUTO_TEST_CASE(lets_short_calls_of_running_work_wait_for_a_slot) {
+    constexpr int direct_ms = 1300;
+    constexpr int nested_ms = 80;
+    gate_options options;
+    options.slots = 58;
+    target_gate gate(options);
+    const auto random = make_random(20261207);
+    struct running_call {
+        std::uint64_t id{};
+        duration took{};
+    };
+    std::multimap<time_point, running_call> ends;
+    std::map<std::uint64_t, bool> is_nested;
+    std::map<bool, int> started;
+    std::map<bool, int> refused;
+    const auto take = [&](time_point now, const gate_steps& steps) {
+        for (const auto& it : steps.refuse)
+            ++refused[is_nested[it.id]];
+        for (const auto id : steps.start) {
+            ++started[is_nested[id]];
+            const double usual = is_nested[id] ? nested_ms : direct_ms;
+            const ms took(static_cast<int>(usual * (0.5 + uniform(random))));
+            ends.emplace(now + took, running_call{id, took});
+        }
+    };
+    std::uint64_t next = 1;
+    for (int t = 0; t < 20000; ++t) {
+        const auto now = start + ms(t);
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const auto it = ends.begin()->second;
+            ends.erase(ends.begin());
+            take(now, gate.finish(now, it.id, it.took));
+        }
+        take(now, gate.expire(now));
+        if (uniform(random) < 0.08) {
+            is_nested[next] = false;
+            take(now,
+                 gate.arrive(now, {next++, 3, false, now + s(15), now + s(4)}));
+        }
+        if (uniform(random) < 0.06) {
+            is_nested[next] = true;
+            take(now, gate.arrive(now, {next++, 2, true, now + ms(700),
+                                        now + ms(300)}));
+        }
+    }
+    BOOST_TEST_MESSAGE("of running work: started "
+                       << started[true] << ", turned away " << refused[true]
+                       << "; from outside: started " << started[false]);
+    // They need 5 of 54 slots, so nearly all of them find one in time.
+    BOOST_TEST(refused[true] < started[true] / 50);
+    BOOST_TEST(started[false] > 500);
+}
+
 BOOST_AUTO_TEST_CASE(turns_all_away_when_it_leaves) {
     auto gate = full_gate();
     gate.arrive(start, direct(11));
