--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -46,7 +46,8 @@
 
 relay_daemon::relay_daemon(relay_settings settings)
     : settings_(std::move(settings)), random_(make_random(random_seed())),
-      stop_(settings_.stop_time), started_(steady_now()) {
+      log_(settings_.self.id.name), stop_(settings_.stop_time),
+      started_(steady_now()) {
     store_client_ =
         std::make_unique<io::http_client>(loop_, store_idle_connections);
     members_ = std::make_unique<coordination::membership>(
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -6,7 +6,7 @@
     if (now - second_ >= std::chrono::seconds(1)) {
         if (left_out_ > 0)
             log_event(log_channel::call, log_level::info, "lines_left_out",
-                      {{"count", left_out_}});
+                      {{"node", self_.value}, {"count", left_out_}});
         second_ = now;
         written_ = 0;
         left_out_ = 0;
@@ -28,7 +28,8 @@
     if (!may_write(now))
         return;
     log_event(log_channel::call, log_level::info, std::string(event.what),
-              {{"request_id", id_of(event)},
+              {{"node", self_.value},
+               {"request_id", id_of(event)},
                {"why", std::string(to_string(event.why))},
                {"service", event.service.value},
                {"peer", event.peer.value},
--- a/source/node/src/relay_log.hpp
+++ b/source/node/src/relay_log.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace redwingwind::node {
 
@@ -14,6 +15,9 @@
 /// lines left out are counted in a line of their own.
 class relay_log {
   public:
+    /// Lines name the node, so that those of many nodes can be put together.
+    explicit relay_log(node_name self) : self_(std::move(self)) {}
+
     void call(time_point now, const relay::call_event& event);
     /// Since the start.
     std::uint64_t left_out() const { return all_left_out_; }
@@ -28,6 +32,7 @@
     static std::string id_of(const relay::call_event& event);
     bool may_write(time_point now);
 
+    node_name self_;
     time_point second_{};
     std::uint32_t written_{};
     std::uint64_t left_out_{};
