ctl, node: explain puts a call's way together from the nodes' logs

Cause: docs/OPERATIONS.md asked people to grep and to sort by hand, and the lines did not tell on which side of a call a decision was made; at the caller's node they showed a load of 0 of 1 that was nobody's.

Lines about calls name their side, and carry only the inputs of that side.

--- a/source/ctl/src/commands.cpp
+++ b/source/ctl/src/commands.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 
 #include "apply.hpp"
+#include "explain.hpp"
 #include "store_session.hpp"
 
 namespace redwingwind::ctl {
@@ -442,6 +443,8 @@
            "  audit verify GRAPH       checks the entries' hashes\n"
            "  usage                    the bill\n"
            "  usage verify             recomputes it, compares both sides\n"
+           "  explain ID [LOG...]      a call's way, from the nodes' logs or "
+           "standard input; --json\n"
            "Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict, 4 not "
            "found, 5 not verified.\n";
 }
@@ -469,6 +472,8 @@
         return drain(settings);
     if (command == "usage")
         return usage_command(settings, words);
+    if (command == "explain")
+        return explain(settings, words);
     return bad_words("no such command\n" + command_help());
 }
 
--- a/source/ctl/src/commands.hpp
+++ b/source/ctl/src/commands.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -27,20 +27,26 @@
 void relay_log::call(time_point now, const relay::call_event& event) {
     if (!may_write(now))
         return;
+    nlohmann::json fields{{"node", self_.value},
+                          {"request_id", id_of(event)},
+                          {"why", std::string(to_string(event.why))},
+                          {"service", event.service.value},
+                          {"peer", event.peer.value},
+                          {"nested", event.is_nested},
+                          {"time_left_ms", event.time_left_ms}};
+    if (event.is_beside_target) {
+        fields["beside"] = "target";
+        fields["running"] = event.load.running;
+        fields["queued"] = event.load.queued;
+        fields["limit"] = event.load.limit;
+    } else {
+        fields["beside"] = "caller";
+        fields["version"] = event.policy_version;
+        fields["attempt"] = event.attempt;
+        fields["strain"] = event.strain;
+    }
     log_event(log_channel::call, log_level::info, std::string(event.what),
-              {{"node", self_.value},
-               {"request_id", id_of(event)},
-               {"why", std::string(to_string(event.why))},
-               {"service", event.service.value},
-               {"peer", event.peer.value},
-               {"version", event.policy_version},
-               {"attempt", event.attempt},
-               {"nested", event.is_nested},
-               {"time_left_ms", event.time_left_ms},
-               {"running", event.load.running},
-               {"queued", event.load.queued},
-               {"limit", event.load.limit},
-               {"strain", event.strain}});
+              fields);
 }
 
 } // namespace redwingwind::node
