node: links to earlier lives need no ending of their own

On the platform's path a node's name is made anew with each life (n1: in a line of explain shows it), so there is never another one; what it was for, late ends that fail the next life's calls, can't happen there.

The other half of that change, a second greeting ends the link before, stays with its test: both links are of one life.

--- a/source/node/src/peer_links.cpp
+++ b/source/node/src/peer_links.cpp
@@ -153,16 +153,6 @@
             close(it->second);
     }
 
-    void keep_only(const node_life& node) {
-        std::vector<std::uint64_t> others;
-        for (auto it = opened_.lower_bound({node.name, {}});
-             it != opened_.end() && it->first.name == node.name; ++it)
-            if (it->first != node)
-                others.push_back(it->second);
-        for (const auto id : others)
-            close(id);
-    }
-
     link_counters counters;
     std::size_t open_links() const { return links_.size(); }
 
@@ -525,10 +515,6 @@
     impl_->drop(node);
 }
 
-void peer_links::keep_only(const node_life& node) {
-    impl_->keep_only(node);
-}
-
 const link_counters& peer_links::counters() const {
     return impl_->counters;
 }
--- a/source/node/src/peer_links.hpp
+++ b/source/node/src/peer_links.hpp
@@ -66,9 +66,6 @@
     /// Over a connection that the other node opened; dropped without one.
     void send_back(const node_life& to, const coordination::frame& message);
     void drop(const node_life& node);
-    /// This life of the node is the one that lives: connections that were
-    /// opened to others of its name end now, before anything is sent to it.
-    void keep_only(const node_life& node);
 
     const link_counters& counters() const;
     std::size_t open_links() const;
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -229,10 +229,6 @@
                it != name_at_.end() && it->second == name) {
         name_at_.erase(it);
     }
-    // Calls at an earlier life are lost; they are told so before any is sent
-    // to this one, which has the same name.
-    if (is_here && links_)
-        links_->keep_only(record.id);
     if (is_here && record.target == target_state::ready)
         sender_->add_target(record.service,
                             {name, record.domain, record.slots});
