--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -1,5 +1,7 @@
 #include "platform_places.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
@@ -30,6 +32,16 @@
             most_attempts};
 }
 
+std::string temporary() {
+    return std::filesystem::temp_directory_path().string();
+}
+
+/// Of the nodes' logs; they are kept when RWW_TEST_LOGS names a folder.
+std::string log_folder() {
+    const char* kept = std::getenv("RWW_TEST_LOGS");
+    return kept == nullptr ? temporary() : kept;
+}
+
 } // namespace
 
 // Targets ---------------------------------------------------------------------
@@ -102,18 +114,21 @@
         place->peer = ports_[ports_per_node * n + 3];
         place->metrics = ports_[ports_per_node * n + 4];
         place->target = std::make_unique<test_target>(http_.loop());
-        place->settings_file =
-            (std::filesystem::temp_directory_path() /
-             ("rww-" + std::to_string(place->outbound) + ".flags"))
-                .string();
+        const auto name = "rww-" + std::to_string(getpid()) + "-" +
+                          std::to_string(place->outbound);
+        place->settings_file = temporary() + "/" + name + ".flags";
+        place->log_file = log_folder() + "/" + name + ".log";
         places_.push_back(std::move(place));
         start_node(n);
     }
 }
 
 platform_deployment::~platform_deployment() {
-    for (const auto& it : places_)
+    for (const auto& it : places_) {
         std::filesystem::remove(it->settings_file);
+        if (log_folder() == temporary())
+            std::filesystem::remove(it->log_file);
+    }
 }
 
 void platform_deployment::start_node(std::size_t n) {
@@ -136,7 +151,8 @@
     file.close();
     it.node = std::make_unique<process>(
         "redwingwind-node",
-        std::vector<std::string>{"--flagfile=" + it.settings_file}, false);
+        std::vector<std::string>{"--flagfile=" + it.settings_file}, false,
+        it.log_file);
 }
 
 void platform_deployment::configure(
@@ -240,6 +256,13 @@
     return http_.call(call).response.body;
 }
 
+std::vector<std::string> platform_deployment::log_files() const {
+    std::vector<std::string> all;
+    for (const auto& it : places_)
+        all.push_back(it->log_file);
+    return all;
+}
+
 void platform_deployment::store_faults(const std::string& faults) {
     http_.post(store_url_ + "/control", faults);
 }
--- a/source/integration/test/platform_places.hpp
+++ b/source/integration/test/platform_places.hpp
@@ -70,6 +70,8 @@
     std::unique_ptr<test_target> target;
     std::unique_ptr<process> node;
     std::string settings_file;
+    /// Lines of all its lives.
+    std::string log_file;
 };
 
 /// Nodes on the platform's path: a store, and a node and a target for each of
@@ -95,6 +97,7 @@
     /// Waits until each node is ready and knows all targets.
     bool wait_served();
     std::string metrics_of(std::size_t n);
+    std::vector<std::string> log_files() const;
     void store_faults(const std::string& faults);
 
     io::http_call make_call(std::size_t n, const std::string& target,
--- a/source/integration/test/platform_test.cpp
+++ b/source/integration/test/platform_test.cpp
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <cstdio>
 #include <fstream>
+#include <iterator>
 
 using namespace redwingwind;
 using namespace redwingwind::integration;
@@ -46,6 +48,19 @@
         return n;
     }
 
+    /// What the operator's tool says of a call, and its exit code.
+    int explain(const std::string& id, std::string& text) {
+        const auto output = places.at(0).settings_file + ".explained";
+        std::vector<std::string> words{"explain", id};
+        const auto logs = places.log_files();
+        words.insert(words.end(), logs.begin(), logs.end());
+        const int code = run_ctl(words, output);
+        std::ifstream in(output);
+        text.assign(std::istreambuf_iterator<char>(in), {});
+        std::remove(output.c_str());
+        return code;
+    }
+
     bool wait_held() {
         return http.wait_until([&] { return *is_done; }, 10s);
     }
@@ -178,6 +193,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(a_failed_request_is_explained, two_services)
+
+BOOST_AUTO_TEST_CASE(when_all_targets_were_full) {
+    places.at(1).target->behave(test_target::manner::full);
+    places.at(3).target->behave(test_target::manner::full);
+    BOOST_TEST(places.send(0, "/back/", "r-full").response.status == 503);
+    std::string text;
+    BOOST_TEST(explain("r-full", text) == 0);
+    BOOST_TEST(text.find("did not run: target_shed") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(when_its_node_was_killed) {
+    const auto at = hold(0, "/back/", "r-killed");
+    places.at(at).node->signal(SIGKILL);
+    BOOST_REQUIRE(wait_held());
+    std::string text;
+    BOOST_TEST(explain("r-killed", text) == 0);
+    BOOST_TEST(text.find("unknown whether the call ran: cut_off, last given "
+                         "to n" +
+                         std::to_string(at)) != std::string::npos,
+               text);
+}
+
+BOOST_AUTO_TEST_CASE(when_it_came_by_an_old_configuration) {
+    BOOST_TEST(places.send(0, "/nowhere/", "r-old").response.status == 404);
+    std::string text;
+    BOOST_TEST(explain("r-old", text) == 0);
+    BOOST_TEST(text.find("not_found, refused where it entered") !=
+               std::string::npos);
+    BOOST_TEST(text.find("1, ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(unless_it_was_served) {
+    BOOST_TEST(places.send(0, "/back/", "r-well").response.status == 200);
+    std::string text;
+    constexpr int not_found = 4;
+    BOOST_TEST(explain("r-well", text) == not_found);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_change_of_the_configuration, two_services)
 
 BOOST_AUTO_TEST_CASE(is_in_force_on_all_nodes) {
--- a/source/integration/test/processes.cpp
+++ b/source/integration/test/processes.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 process::process(const std::string& program, std::vector<std::string> arguments,
-                 bool prints_port) {
+                 bool prints_port, const std::string& output) {
     const auto path = program_path(program);
     std::vector<char*> argv{const_cast<char*>(path.c_str())};
     for (auto& it : arguments)
@@ -55,7 +55,7 @@
         throw std::runtime_error("no pipe");
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    const auto log = log_path(program);
+    const auto log = output.empty() ? log_path(program) : output;
     constexpr int readable = 0644;
     if (prints_port)
         posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
@@ -315,8 +315,8 @@
     return count;
 }
 
-int run_ctl(std::vector<std::string> arguments) {
-    process ctl("redwingwindctl", std::move(arguments), false);
+int run_ctl(std::vector<std::string> arguments, const std::string& output) {
+    process ctl("redwingwindctl", std::move(arguments), false, output);
     return ctl.wait(std::chrono::seconds(30));
 }
 
--- a/source/integration/test/processes.hpp
+++ b/source/integration/test/processes.hpp
@@ -20,9 +20,10 @@
 class process {
   public:
     /// The program's name is looked up beside the test's own. A program that
-    /// prints its port has it read into port().
+    /// prints its port has it read into port(); what another one prints goes
+    /// to the file, if one is named.
     process(const std::string& program, std::vector<std::string> arguments,
-            bool prints_port);
+            bool prints_port, const std::string& output = {});
     ~process();
     process(const process&) = delete;
     process& operator=(const process&) = delete;
@@ -124,6 +125,6 @@
 std::string error_of(const io::http_result& result);
 
 /// Runs redwingwindctl and returns its exit code.
-int run_ctl(std::vector<std::string> arguments);
+int run_ctl(std::vector<std::string> arguments, const std::string& output = {});
 
 } // namespace redwingwind::integration
