cmake: Debian packages of the programs and of the libraries

Change: cpack -G DEB makes redwingwind (both programs, a systemd unit, an example of settings, alerts, dashboard, pages) and redwingwind-dev (headers, libraries, CMake package).

The unit was not started, as no systemd runs here.

Test: the example's settings are checked in settings_of_a_node.

--- a/cmake/redwingwind.cmake
+++ b/cmake/redwingwind.cmake
@@ -30,8 +30,9 @@
     target_compile_features(${name} PUBLIC cxx_std_20)
     set_target_properties(${name} PROPERTIES OUTPUT_NAME redwingwind-${name})
     install(TARGETS ${name} EXPORT redwingwind-targets
-            ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
-    install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+            ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR} COMPONENT libraries)
+    install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}
+            COMPONENT libraries)
 endfunction()
 
 function(rww_program name)
--- a/source/integration/test/faults_test.cpp
+++ b/source/integration/test/faults_test.cpp
@@ -210,6 +210,12 @@
                2);
 }
 
+BOOST_AUTO_TEST_CASE(are_good_in_the_example_that_the_package_brings) {
+    BOOST_TEST(
+        exit_code_of({"--flagfile=" RWW_PACKAGE_FOLDER "/node.flags.example",
+                      "--check-settings"}) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(include_the_key_without_which_no_peer_is_accepted) {
     http_caller http;
     deployment places(http, {{"front", "back"}, "", {}, {}});
