--- a/source/io/src/reactor.cpp
+++ b/source/io/src/reactor.cpp
@@ -62,8 +62,8 @@
     ACE_HANDLE get_handle() const override { return set_; }
     int handle_input(ACE_HANDLE) override;
     void run_deferred();
-    /// Once round the loop: events, for at most this long, and what they
-    /// left to do.
+    /// Once round the loop: waits at most so long for an event, without a
+    /// limit when there is none, and then does what the event left to do.
     void turn(ACE_Time_Value* wait);
     void bury(descriptor_handler* handler);
 
--- a/source/overload/src/target_gate.cpp
+++ b/source/overload/src/target_gate.cpp
@@ -12,6 +12,7 @@
 /// A call that waits is expected to need at least this share of the usual
 /// time at the target.
 constexpr double least_service_share = 0.7;
+/// Shorter times at the target are taken for this, so that a rate is finite.
 constexpr double least_time_s = 1e-4;
 /// Slots a second that are counted on at least.
 constexpr double least_rate = 1e-3;
