--- a/source/common/src/settings.cpp
+++ b/source/common/src/settings.cpp
@@ -3,6 +3,7 @@
 #include <absl/flags/commandlineflag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
+#include <absl/flags/usage_config.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <redwingwind/common/error.hpp>
@@ -75,6 +76,9 @@
     if (auto status = apply_environment(); !status.ok())
         return status;
     std::for_each(argv + 1, argv + argc, use_underscores);
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return "redwingwind " RWW_VERSION "\n"; };
+    absl::SetFlagsUsageConfig(usage);
     const auto left = absl::ParseCommandLine(argc, argv);
     rest.assign(left.begin() + 1, left.end());
     for (const auto& range : ranges)
--- a/source/integration/test/faults_test.cpp
+++ b/source/integration/test/faults_test.cpp
@@ -210,6 +210,15 @@
                2);
 }
 
+BOOST_AUTO_TEST_CASE(are_not_needed_to_tell_the_version) {
+    for (const auto* program : {"redwingwind-node", "redwingwindctl"}) {
+        const auto output = temporary_file(program);
+        process it(program, {"--version"}, false, output);
+        BOOST_TEST(it.wait(10s) == 0);
+        BOOST_TEST(take_text(output) == "redwingwind " RWW_VERSION "\n");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(are_good_in_the_example_that_the_package_brings) {
     BOOST_TEST(
         exit_code_of({"--flagfile=" RWW_PACKAGE_FOLDER "/node.flags.example",
--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -32,14 +32,15 @@
             most_attempts};
 }
 
-std::string temporary() {
-    return std::filesystem::temp_directory_path().string();
+/// Nodes' logs are kept when this names a folder.
+const char* kept_logs() {
+    return std::getenv("RWW_TEST_LOGS");
 }
 
-/// Of the nodes' logs; they are kept when RWW_TEST_LOGS names a folder.
-std::string log_folder() {
-    const char* kept = std::getenv("RWW_TEST_LOGS");
-    return kept == nullptr ? temporary() : kept;
+std::string log_file(const std::string& name) {
+    return kept_logs() == nullptr ? temporary_file(name)
+                                  : std::string(kept_logs()) + "/" +
+                                        std::to_string(getpid()) + "-" + name;
 }
 
 } // namespace
@@ -114,10 +115,9 @@
         place->peer = ports_[ports_per_node * n + 3];
         place->metrics = ports_[ports_per_node * n + 4];
         place->target = std::make_unique<test_target>(http_.loop());
-        const auto name = "rww-" + std::to_string(getpid()) + "-" +
-                          std::to_string(place->outbound);
-        place->settings_file = temporary() + "/" + name + ".flags";
-        place->log_file = log_folder() + "/" + name + ".log";
+        const auto name = std::to_string(place->outbound);
+        place->settings_file = temporary_file(name + ".flags");
+        place->log_file = log_file(name + ".log");
         places_.push_back(std::move(place));
         start_node(n);
     }
@@ -126,7 +126,7 @@
 platform_deployment::~platform_deployment() {
     for (const auto& it : places_) {
         std::filesystem::remove(it->settings_file);
-        if (log_folder() == temporary())
+        if (kept_logs() == nullptr)
             std::filesystem::remove(it->log_file);
     }
 }
--- a/source/integration/test/platform_test.cpp
+++ b/source/integration/test/platform_test.cpp
@@ -3,9 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
-#include <cstdio>
 #include <fstream>
-#include <iterator>
 
 using namespace redwingwind;
 using namespace redwingwind::integration;
@@ -50,14 +48,12 @@
 
     /// What the operator's tool says of a call, and its exit code.
     int explain(const std::string& id, std::string& text) {
-        const auto output = places.at(0).settings_file + ".explained";
+        const auto output = temporary_file("explained");
         std::vector<std::string> words{"explain", id};
         const auto logs = places.log_files();
         words.insert(words.end(), logs.begin(), logs.end());
         const int code = run_ctl(words, output);
-        std::ifstream in(output);
-        text.assign(std::istreambuf_iterator<char>(in), {});
-        std::remove(output.c_str());
+        text = take_text(output);
         return code;
     }
 
--- a/source/integration/test/processes.cpp
+++ b/source/integration/test/processes.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -174,6 +176,19 @@
     return std::string(RWW_TEST_FOLDER) + "/services.json";
 }
 
+std::string temporary_file(const std::string& name) {
+    return (std::filesystem::temp_directory_path() /
+            ("rww-" + std::to_string(getpid()) + "-" + name))
+        .string();
+}
+
+std::string take_text(const std::string& file) {
+    std::ifstream in(file);
+    std::string text{std::istreambuf_iterator<char>(in), {}};
+    std::filesystem::remove(file);
+    return text;
+}
+
 std::string node_place::call_url() const {
     return "http://127.0.0.1:" + std::to_string(call);
 }
--- a/source/integration/test/processes.hpp
+++ b/source/integration/test/processes.hpp
@@ -121,6 +121,10 @@
 };
 
 std::string config_file();
+/// A path of this process's own for what a program prints.
+std::string temporary_file(const std::string& name);
+/// What is in the file, which is removed.
+std::string take_text(const std::string& file);
 std::string outcome_of(const io::http_result& result);
 std::string error_of(const io::http_result& result);
 
