relay: a call taken late in a stop is given no more time than the stop has left

A node was told to stop at 23.3 s, took a request at 27.19 s with 1.3 s left until its last answers, as calls of that route usually end within 1.0 s, and answered 502 itself at 28.80 s while the slow target still worked on it.

Ruled out: refusing all calls that have a longer deadline than the stop (nearly all have, and callers of a zone that restarts have no other node); a larger estimate (no figure of the past bounds a target that turns slow just then).

Change: such a call's end is the stop's. The target gives up by then on its own, and its answer is whole and is told; the caller's node waits 200 ms for it, of the 300 ms that the process has left.

Test: the_callers_node/lets_the_target_end_what_it_took_before_it_stops fails before (time handed on 5000 instead of 2000 ms; no answer), passes after.

--- a/source/relay/include/redwingwind/relay/sender.hpp
+++ b/source/relay/include/redwingwind/relay/sender.hpp
@@ -38,6 +38,9 @@
     double kept_for_nested{0.5};
     /// Time past a call's end for an answer that is on its way.
     duration answer_grace{std::chrono::milliseconds(40)};
+    /// The same where the stop of this node set the end: its caller still
+    /// waits, and the node is there for 300 ms more.
+    duration stop_answer_grace{std::chrono::milliseconds(200)};
 };
 
 /// What a node knows of a service's targets.
@@ -78,7 +81,8 @@
     void add_target(const service_name& service,
                     const overload::candidate& target);
     void remove_target(const node_name& node);
-    /// This node stops: it takes only calls that usually end by then.
+    /// This node stops: it takes only calls that usually end by then, and
+    /// gives their targets no more time.
     void stop_by(time_point end) { stops_at_ = end; }
     /// The node is about to end: what is still open is answered now.
     void end_all(time_point now);
--- a/source/relay/src/sender.cpp
+++ b/source/relay/src/sender.cpp
@@ -122,14 +122,19 @@
     it.most_attempts = std::max<std::uint32_t>(rule.most_attempts, 1);
     const auto time =
         std::min(call.time_left.value_or(rule.timeout), rule.timeout);
-    it.end = now + time;
+    // A target that is slow just now ends it in time by itself: breaking off
+    // what it works on would lose it.
+    const bool is_cut_short = stops_at_ - now < time;
+    it.end = is_cut_short ? stops_at_ : now + time;
     it.latest_useful = now + std::min(rule.target_latency, time);
     it.call = std::move(call);
     repeats_of(it.service)
         .on_request(now, it.is_nested ? hooks_.repeat_share() : 0);
     if (it.is_nested)
         attribution_.on_call(now, it.service);
-    due_.push({it.end + options_.answer_grace, exchange});
+    due_.push({it.end + (is_cut_short ? options_.stop_answer_grace
+                                      : options_.answer_grace),
+               exchange});
     auto& added = open_[exchange] = std::move(it);
     place(now, added);
 }
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -291,6 +291,24 @@
     BOOST_TEST((node.answers.at(5).why == error_code::draining));
 }
 
+BOOST_AUTO_TEST_CASE(lets_the_target_end_what_it_took_before_it_stops) {
+    sending_node node;
+    node.it.stop_by(start + ms(4000));
+    auto call = call_to("/look/a");
+    call.time_left = std::chrono::seconds(6);
+    node.it.on_call(start + ms(2000), call);
+    BOOST_REQUIRE(node.sent.size() == 1U);
+    // The target gives up at that time by itself, and its answer is told.
+    BOOST_TEST(node.sent.back().call.time_left_ms == 2000U);
+    node.it.tick(start + ms(4090));
+    BOOST_TEST(node.answers.empty());
+    auto late = node.reply(outcome::done, error_code::target_failed);
+    late.response.status = 504;
+    node.answer_last(late, start + ms(4100));
+    BOOST_REQUIRE(node.answers.count(1) == 1U);
+    BOOST_TEST(node.answers.at(1).response.status == 504);
+}
+
 BOOST_AUTO_TEST_CASE(answers_all_that_is_open_when_it_ends) {
     sending_node node;
     node.it.on_call(start, call_to("/look/a", 1));
