ctl: failures are printed in one place

Cause: explain wrote its errors in its own way beside fail() and bad_words() of commands, which nobody else could use, so its missing file got no advice and two formats had to be kept alike.

Ruled out: a base of explain on commands.cpp's whole (it would have pulled the store's session in).

--- a/source/ctl/src/explain.cpp
+++ b/source/ctl/src/explain.cpp
@@ -1,5 +1,7 @@
 #include "explain.hpp"
 
+#include <redwingwind/common/error.hpp>
+
 #include <absl/strings/str_format.h>
 
 #include <unistd.h>
@@ -8,6 +10,7 @@
 #include <iostream>
 
 #include "call_history.hpp"
+#include "failure.hpp"
 
 namespace redwingwind::ctl {
 namespace {
@@ -98,21 +101,16 @@
 
 exit_code explain(const ctl_settings& settings,
                   const std::vector<std::string>& words) {
-    if (words.size() < 2 || words[1].empty()) {
-        std::cerr << "redwingwindctl: bad_input: explain REQUEST-ID "
-                     "[LOGFILE...]\n";
-        return exit_code::bad_input;
-    }
+    if (words.size() < 2 || words[1].empty())
+        return bad_words("explain REQUEST-ID [LOGFILE...]");
     std::vector<std::string> sources(words.begin() + 2, words.end());
     if (sources.empty())
         sources.emplace_back("-");
     call_history history{request_id{words[1]}};
     progress shown;
     for (const auto& it : sources)
-        if (!read_source(it, shown, history)) {
-            std::cerr << "redwingwindctl: not_found: can't read " << it << "\n";
-            return exit_code::not_found;
-        }
+        if (!read_source(it, shown, history))
+            return fail(make_error(error_code::not_found, "can't read " + it));
     shown.end();
     if (settings.as_json)
         std::cout << history.to_json().dump(2) << "\n";
