--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,9 @@
-"""Endpoints that shed, and extra copies of their answers that come late. See
+"""Clients that read their answers slowly while their node gets SIGTERM. See
 claim.txt."""
 
 import os
-import random
+import signal
+import socket
 import sys
 import threading
 import time
@@ -11,106 +12,98 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
 import harness as h
 
-# srv_grey, "shed all": the endpoint sheds this share of its requests.
-SHED_SHARE = 0.45
-# garble, "extra late": it sends a second copy of this share of its answers, at
-# the point where the next answer is expected.
-EXTRA_SHARE = 0.03
-if not h.TROUBLE:
-    SHED_SHARE = 0
-    EXTRA_SHARE = 0
-# To see which of the two does it: sheds alone break nothing.
-if os.environ.get("ONLY") == "sheds":
-    EXTRA_SHARE = 0
-RATE = 40
-LOAD_S = 40
+ANSWER_BYTES = 2 << 20
+# A client reads the head of its answer, does something else for this long, and
+# reads the rest as fast as it comes.
+PAUSE_S = 4.0
+# Segments and buffers of an ordinary network, not of the loopback device.
+SEGMENT_BYTES = 1448
+RECEIVE_BYTES = 32 << 10
+CLIENTS = 6
+# SIGTERM comes this long after the requests.
+SIGTERM_AFTER_S = 0.3
+TIME_LEFT_MS = 12000
 
 
-class grey_endpoint(h.endpoint):
-    def __init__(self, at, ident, seed):
-        self.random = random.Random(seed)
-        self.extras = 0
-        super().__init__(at, ident, work_s=0.15)
-
-    def serve(self, sock):
-        it = h.reader(sock)
-        extra = None
-        try:
-            while True:
-                got = it.head()
-                if got is None:
-                    break
-                first, headers = got
-                body = it.body(int(headers.get("content-length", "0")))
-                ident = headers.get("request-id", "")
-                if extra:
-                    self.extras += 1
-                    self.record("%s sends its answer to %s once more, as %s "
-                                "arrives" % (self.ident, extra[0], ident))
-                    sock.sendall(extra[1])
-                with self.lock:
-                    sheds = self.random.random() < SHED_SHARE
-                    again = self.random.random() < EXTRA_SHARE
-                if sheds:
-                    self.record("%s sheds %s" % (self.ident, ident))
-                    data = (b"HTTP/1.1 503 Service Unavailable\r\n"
-                            b"Request-Id: %s\r\nNot-Executed: 1\r\n"
-                            b"Content-Length: 0\r\n\r\n" % ident.encode())
-                else:
-                    data = self.answer(first, headers, body)
-                extra = (ident, data) if again else None
-                sock.sendall(data)
-        except (OSError, h.cut_off):
-            pass
-        with self.lock:
-            self.connections.discard(sock)
+def read_slowly(port, data):
+    """Sends one request; (status, bytes due, bytes read, why it ended)."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.settimeout(5)
+    sock.connect((h.IP, port))
+    sock.sendall(data)
+    it = h.reader(sock)
+    try:
+        got = it.head()
+        if got is None:
+            return 0, None, 0, "closed without an answer"
+        status = int(got[0].split()[1])
+        size = int(got[1]["content-length"])
+        body = len(it.buf)
+        time.sleep(PAUSE_S)
+        while body < size:
+            part = sock.recv(65536)
+            if not part:
+                return status, size, body, "end of the connection"
+            body += len(part)
+        return status, size, body, ""
+    except (OSError, h.cut_off) as e:
+        return status, size, body, repr(e)
+    finally:
         sock.close()
 
 
 def body(log, started):
-    d = h.deployment(log, ["payments", "front", "front"])
+    d = h.deployment(log, ["archive", "archive"])
     started.append(d)
-    d.store.configure(1, [h.route("payment", "/payments/", "non_idempotent",
-                                  "payments")], ["payments", "front"])
+    d.store.configure(1, [h.route("export", "/exports/", "idempotent",
+                                  "archive", timeout_s=12,
+                                  target_latency_s=6)], ["archive"])
     d.start()
-    ends = [grey_endpoint(d.places[0], "i-0", 1),
-            h.endpoint(d.places[1], "i-1"),
-            h.endpoint(d.places[2], "i-2")]
+    ends = [h.endpoint(p, "i-%d" % n, work_s=0.05, body=b"x" * ANSWER_BYTES)
+            for n, p in enumerate(d.places)]
     for it in ends:
         it.run_beats()
     d.wait_served()
 
-    answers = {}
+    node = d.places[0]
+    cut, whole = [], []
 
-    def send(number):
-        ident = "p%05d" % number
-        at = d.places[number % 3]
-        answers[ident] = h.call(at.outbound, h.request_bytes(
-            "POST", "/payments/x", h.HOST, ident, 4000, b"pay"), 6)
-        log("client at %s: %s -> %s" % (at.name, ident, answers[ident]))
+    def one(number):
+        ident = "r%d" % number
+        sent = log.now()
+        log("client at %s sends %s" % (node.name, ident))
+        status, size, got, why = read_slowly(node.outbound, h.request_bytes(
+            "GET", "/exports/%d" % number, h.HOST, ident, TIME_LEFT_MS))
+        log("%s, after %.2f s: status %d, %d of %s bytes of body %s" %
+            (ident, log.now() - sent, status, got, size, why))
+        (whole if status == 200 and got == size else cut).append(ident)
 
-    clients = []
-    for number in range(RATE * LOAD_S):
-        clients.append(threading.Thread(target=send, args=(number,)))
-        clients[-1].start()
-        time.sleep(1.0 / RATE)
+    clients = [threading.Thread(target=one, args=(n,)) for n in range(CLIENTS)]
+    for it in clients:
+        it.start()
+    time.sleep(SIGTERM_AFTER_S)
+    if h.TROUBLE:
+        node.signal(signal.SIGTERM)
+        log("SIGTERM to %s; SIGKILL would follow %g s later" %
+            (node.name, h.GRACE_S))
+        stopped = time.monotonic()
+        while (node.process.poll() is None and
+               time.monotonic() < stopped + h.GRACE_S):
+            time.sleep(0.01)
+        log("%s %s %.2f s after the SIGTERM" %
+            (node.name, "still runs" if node.process.poll() is None else
+             "exited", time.monotonic() - stopped))
+        if node.process.poll() is None:
+            node.signal(signal.SIGKILL)
     for it in clients:
         it.join()
-    time.sleep(1)
-
-    times = {}
-    for it in ends:
-        for _, ident, _ in it.runs:
-            times[ident] = times.get(ident, 0) + 1
-    twice = sorted(i for i, n in times.items() if n > 1)
-    refused = sorted(i for i, a in answers.items()
-                     if a.status in (408, 421, 429, 503) and i in times)
-    log("%d payments, %d answered 200, %d extra answers" %
-        (len(answers), sum(a.status == 200 for a in answers.values()),
-         ends[0].extras))
-    log("%d ran more than once: %s" % (len(twice), " ".join(twice)))
-    log("%d were answered 503 and ran: %s" % (len(refused), " ".join(refused)))
-    return h.BROKEN if twice or refused else h.HELD
+    ran = {i for e in ends for _, i, _ in e.runs}
+    lost = [i for i in cut if i in ran]
+    log("%d requests, %d whole answers, %d that an endpoint ran and whose "
+        "answer was cut" % (CLIENTS, len(whole), len(lost)))
+    return h.BROKEN if lost else h.HELD
 
 
 h.run_case(HERE, body)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -50,21 +51,26 @@
             self.file.flush()
 
 
+given_ports = set()
+
+
 def free_ports(count):
-    """Ports that nobody listens on now; all held open until all are found."""
-    held, ports = [], []
+    """Ports that nobody listens on now and that were not given before, below
+    those that the system takes for outgoing connections."""
+    ports = []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind((IP, 0))
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held += [tcp, udp]
-        try:
-            udp.bind((IP, tcp.getsockname()[1]))
-        except OSError:
+        port = random.randrange(20000, 32000)
+        if port in given_ports:
             continue
-        ports.append(tcp.getsockname()[1])
-    for it in held:
-        it.close()
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((IP, port))
+                udp.bind((IP, port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        ports.append(port)
     return ports
 
 
@@ -522,6 +528,8 @@
 
     def end(self):
         """The endpoint exits: its connections end."""
+        # Ends the wait for the next connection too.
+        self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         with self.lock:
             for sock in self.connections:
