--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -7,6 +7,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -419,6 +420,7 @@
                 it.kill()
         for it in self.processes:
             it.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 # Endpoints --------------------------------------------------------------------
@@ -548,6 +550,12 @@
         log("target/bin/redwingwind-node is missing: run the build first")
         sys.exit(COULD_NOT_RUN)
     started = []
+
+    def stop_early(*_):
+        raise RuntimeError("told to stop")
+
+    signal.signal(signal.SIGTERM, stop_early)
+    signal.signal(signal.SIGINT, stop_early)
     try:
         result = body(log, started)
     except Exception as e:  # a case that could not run has its own code
