review: case 5, a late heartbeat puts an endpoint that left back in use

Cause: DELETE is not remembered for the incarnation, so a heartbeat sent before it and delivered after it makes the endpoint ready.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,109 +1,104 @@
-"""Clients that read their answers slowly while their node gets SIGTERM. See
-claim.txt."""
+"""DRAIN: a heartbeat that arrives seconds late, after its endpoint has said
+that it leaves, puts the endpoint back in use."""
 
 import os
-import signal
-import socket
 import sys
 import threading
 import time
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 import harness as h
 
-ANSWER_BYTES = 2 << 20
-# A client reads the head of its answer, does something else for this long, and
-# reads the rest as fast as it comes.
-PAUSE_S = 4.0
-# Segments and buffers of an ordinary network, not of the loopback device.
-SEGMENT_BYTES = 1448
-RECEIVE_BYTES = 32 << 10
-CLIENTS = 6
-# SIGTERM comes this long after the requests.
-SIGTERM_AFTER_S = 0.3
-TIME_LEFT_MS = 12000
-
-
-def read_slowly(port, data):
-    """Sends one request; (status, bytes due, bytes read, why it ended)."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    sock.settimeout(5)
-    sock.connect((h.IP, port))
-    sock.sendall(data)
-    it = h.reader(sock)
-    try:
-        got = it.head()
-        if got is None:
-            return 0, None, 0, "closed without an answer"
-        status = int(got[0].split()[1])
-        size = int(got[1]["content-length"])
-        body = len(it.buf)
-        time.sleep(PAUSE_S)
-        while body < size:
-            part = sock.recv(65536)
-            if not part:
-                return status, size, body, "end of the connection"
-            body += len(part)
-        return status, size, body, ""
-    except (OSError, h.cut_off) as e:
-        return status, size, body, repr(e)
-    finally:
-        sock.close()
+# How late the heartbeat arrives.
+LATE_S = 3.0
+# The endpoint goes on serving for drain_s after the acknowledgement and a
+# little longer.
+SERVES_ON_S = h.DRAIN_S + 4.0
+ORDER_EVERY_S = 0.1
 
 
 def body(log, started):
-    d = h.deployment(log, ["archive", "archive"])
+    d = h.deployment(log, ["orders", "orders", "shop"])
     started.append(d)
-    d.store.configure(1, [h.route("export", "/exports/", "idempotent",
-                                  "archive", timeout_s=12,
-                                  target_latency_s=6)], ["archive"])
+    d.store.configure(7, [h.route("r-order", "/order/", "non_idempotent",
+                                  "orders"),
+                          h.route("r-shop", "/shop/", "idempotent", "shop")],
+                      ["orders", "shop"])
     d.start()
-    ends = [h.endpoint(p, "i-%d" % n, work_s=0.05, body=b"x" * ANSWER_BYTES)
-            for n, p in enumerate(d.places)]
-    for it in ends:
+    leaving = h.endpoint(d.places[0], "i-leaving", work_s=0.5)
+    staying = h.endpoint(d.places[1], "i-staying", work_s=0.5)
+    shop = h.endpoint(d.places[2], "i-shop")
+    for it in (leaving, staying, shop):
         it.run_beats()
     d.wait_served()
+    # All machines are in touch: nothing happens for stability_window_s.
+    time.sleep(3.2)
+    stop = threading.Event()
+    answers = {}
+    sent = {}
+    threads = []
+
+    def order(n):
+        ident = "order-%03d" % n
+        sent[ident] = log.now()
+        got = h.call(d.places[2].outbound, h.request_bytes(
+            "POST", "/order/%d" % n, h.HOST, ident, 5000, b"{}"), 6)
+        log("client: %s answered %s" % (ident, got))
+        answers[ident] = got
+
+    def load():
+        n = 0
+        while not stop.is_set():
+            threads.append(threading.Thread(target=order, args=(n,)))
+            threads[-1].start()
+            n += 1
+            time.sleep(ORDER_EVERY_S)
 
-    node = d.places[0]
-    cut, whole = [], []
+    driver = threading.Thread(target=load)
+    driver.start()
+    time.sleep(2)
+    # The last heartbeat before the leave is on its way.
+    leaving.beats = False
+    time.sleep(h.HEARTBEAT_S)
+    beat = leaving.beat_bytes()
+    log("i-leaving sends heartbeat %d (ready); it is %s" % (
+        leaving.sequence, "held up for %.1f s" % LATE_S if h.TROUBLE
+        else "not late"))
 
-    def one(number):
-        ident = "r%d" % number
-        sent = log.now()
-        log("client at %s sends %s" % (node.name, ident))
-        status, size, got, why = read_slowly(node.outbound, h.request_bytes(
-            "GET", "/exports/%d" % number, h.HOST, ident, TIME_LEFT_MS))
-        log("%s, after %.2f s: status %d, %d of %s bytes of body %s" %
-            (ident, log.now() - sent, status, got, size, why))
-        (whole if status == 200 and got == size else cut).append(ident)
+    def deliver():
+        got = h.call(d.places[0].control, beat, 1)
+        log("heartbeat %d arrives at the node: %s" % (leaving.sequence, got))
 
-    clients = [threading.Thread(target=one, args=(n,)) for n in range(CLIENTS)]
-    for it in clients:
-        it.start()
-    time.sleep(SIGTERM_AFTER_S)
     if h.TROUBLE:
-        node.signal(signal.SIGTERM)
-        log("SIGTERM to %s; SIGKILL would follow %g s later" %
-            (node.name, h.GRACE_S))
-        stopped = time.monotonic()
-        while (node.process.poll() is None and
-               time.monotonic() < stopped + h.GRACE_S):
-            time.sleep(0.01)
-        log("%s %s %.2f s after the SIGTERM" %
-            (node.name, "still runs" if node.process.poll() is None else
-             "exited", time.monotonic() - stopped))
-        if node.process.poll() is None:
-            node.signal(signal.SIGKILL)
-    for it in clients:
+        threading.Timer(LATE_S, deliver).start()
+    else:
+        deliver()
+    time.sleep(1.0)
+    got = leaving.leave()
+    left = log.now()
+    log("i-leaving says DELETE: %s" % got)
+    if got.status != 200:
+        raise RuntimeError("the leave was not acknowledged")
+    time.sleep(SERVES_ON_S)
+    log("i-leaving exits")
+    leaving.end()
+    time.sleep(1.5)
+    stop.set()
+    driver.join()
+    for it in threads:
         it.join()
-    ran = {i for e in ends for _, i, _ in e.runs}
-    lost = [i for i in cut if i in ran]
-    log("%d requests, %d whole answers, %d that an endpoint ran and whose "
-        "answer was cut" % (CLIENTS, len(whole), len(lost)))
-    return h.BROKEN if lost else h.HELD
+    late = [(t, i) for t, i, _ in leaving.runs if t > left + h.DRAIN_S]
+    log("%d orders sent; %d reached i-leaving later than drain_s after the "
+        "acknowledgement" % (len(answers), len(late)))
+    cut = [i for t, i, _ in leaving.runs if answers[i].status != 200]
+    log("%d orders had begun at i-leaving and were not answered by it: %s" %
+        (len(cut), ["%s: %s" % (i, answers[i]) for i in cut]))
+    for t, i in late:
+        log("DRAIN: %s, sent %.2f s after the acknowledgement, reached "
+            "i-leaving %.2f s after it and was answered %s" %
+            (i, sent[i] - left, t - left, answers[i]))
+    return h.BROKEN if late else h.HELD
 
 
-h.run_case(HERE, body)
+h.run_case(FOLDER, body)
