--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,9 +12,9 @@
 import harness as h
 
 SEED = 20261205
-ORDERS = 2400
-# Six entries of `garble`, 5 s each, one after the other.
-LENGTH_S = 30.0
+ORDERS = 6000
+# Entries of `garble`, 5 s each, one after the other.
+LENGTH_S = 75.0
 # The doses of the site file: `srv_grey` with `shed`, and `garble` with
 # `extra late`.
 SHED_SHARE = 0.14
@@ -29,6 +29,7 @@
     def __init__(self, *args, **more):
         super().__init__(*args, **more)
         self.random = random.Random(SEED)
+        self.copies = False
         self.answers = 0
         self.sheds = 0
         self.extra = 0
@@ -62,7 +63,7 @@
                 else:
                     answer = self.answer(first, headers, body)
                 sock.sendall(answer)
-                if again and h.TROUBLE:
+                if again and h.TROUBLE and self.copies:
                     late = answer
                     self.extra += 1
         except (OSError, h.cut_off):
@@ -73,17 +74,21 @@
 
 
 def body(log, started):
-    d = h.deployment(log, ["orders", "shop"])
+    d = h.deployment(log, ["orders", "shop", "orders"])
     started.append(d)
     d.store.configure(7, [h.route("r-order", "/order/", "non_idempotent",
-                                  "orders"),
+                                  "orders", max_attempts=1),
                           h.route("r-shop", "/shop/", "idempotent", "shop")],
                       ["orders", "shop"])
     d.start()
     orders = shedding(d.places[0], "i-orders", work_s=0.042)
+    # One endpoint of two sends copies: a share of 0.5, where 0.6 is named.
+    orders.copies = True
+    other = shedding(d.places[2], "i-other", work_s=0.042)
     shop = h.endpoint(d.places[1], "i-shop")
     orders.run_beats()
     shop.run_beats()
+    other.run_beats()
     d.wait_served()
     time.sleep(h.HEARTBEAT_S)
     answers = {}
@@ -104,14 +109,14 @@
         it.join()
     time.sleep(1)
     count = {}
-    for _, ident, _ in orders.runs:
+    for _, ident, _ in orders.runs + other.runs:
         count[ident] = count.get(ident, 0) + 1
     twice = sorted(i for i, n in count.items() if n > 1)
     promised = sorted(i for i, it in answers.items()
                       if it.status in (408, 421, 429, 503) and i in count)
-    log("%d orders sent, %d ran; %d answers of the endpoint, of these %d "
-        "sheds; %d second copies" % (ORDERS, len(count), orders.answers,
-                                     orders.sheds, orders.extra))
+    log("%d orders sent, %d ran; %d answers of the two endpoints, of these %d "
+        "sheds; %d second copies" % (ORDERS, len(count), orders.answers + other.answers,
+                                     orders.sheds + other.sheds, orders.extra))
     for it in twice:
         log("TWICE: %s ran %d times" % (it, count[it]))
     for it in promised:
