integration: a test no longer reads a status before its keys are there

The three figures are now read with a default of 0, which is not the expected value, so the condition is the same: 4 alive members, 2 targets of each service, within 20 s. A reply that is no object counts as not yet.

--- a/source/integration/test/operator_test.cpp
+++ b/source/integration/test/operator_test.cpp
@@ -210,9 +210,12 @@
     BOOST_TEST(http.wait_until(
         [&] {
             const auto json = places->status(0);
-            return json["members"]["alive"] == 4 &&
-                   json["services"]["front"] == 2 &&
-                   json["services"]["back"] == 2;
+            const auto count = [&](const char* path) {
+                return json.value(nlohmann::json::json_pointer(path), 0);
+            };
+            return json.is_object() && count("/members/alive") == 4 &&
+                   count("/services/front") == 2 &&
+                   count("/services/back") == 2;
         },
         20s));
     BOOST_TEST(outcome_of(http.call(
