node: logs and metrics tell a second sending from a late response

What the incident's record could not show: that a call was sent again after a target's refusal, on which connection to the target, and that a response came that no call waited for.

A refusal by a target now writes `repeated` with the number of refusals; `not_answered` names the connection, whether it was kept, the responses skipped on it and the time at the target. At most 25 of the 40 lines a second tell of rejections, so that the others are not crowded out under load. Metrics count repeats by reason, connections opened to the target and responses of it that no call waited for. No decision is changed.

--- a/source/io/include/redwingwind/io/stream_client.hpp
+++ b/source/io/include/redwingwind/io/stream_client.hpp
@@ -27,6 +27,11 @@
     stream_failure failure{stream_failure::none};
     /// The connection had served an earlier request.
     bool was_reused{};
+    /// Number of the connection, from 1; 0 when none could be opened.
+    std::uint64_t connection{};
+    /// Responses to other requests that were read on the connection and
+    /// skipped while this call waited.
+    std::uint32_t skipped_responses{};
     http_response response;
 };
 
--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -62,7 +62,7 @@
             it = open();
         if (it == nullptr) {
             loop_.defer([on_end = std::move(on_end)] {
-                on_end({stream_failure::not_connected, false, {}});
+                on_end({stream_failure::not_connected, false, 0, 0, {}});
             });
             return id;
         }
@@ -72,6 +72,7 @@
         it->echo_value = std::move(call.echo_value);
         it->out = write_request(call.request);
         it->is_head = call.request.method == "HEAD";
+        it->skipped_responses = 0;
         it->reader.start(response_limits(), it->is_head);
         set_buffered(*it, it->in.size());
         calls_.emplace(id, it->id);
@@ -109,6 +110,8 @@
         std::string out;
         /// Bytes read of the current response.
         std::size_t buffered_bytes{};
+        /// Responses to other requests skipped during the current call.
+        std::uint32_t skipped_responses{};
         /// The call that the connection serves; 0 while it is idle.
         call_id call{};
         callback on_end;
@@ -309,14 +312,15 @@
         if (echo.empty() && !it.was_used)
             return response_kind::matching;
         ++counters.unmatched_responses;
+        ++it.skipped_responses;
         return echo.empty() ? response_kind::unidentified
                             : response_kind::skipped;
     }
 
     void finish(connection& it, bool is_kept_alive) {
         ++counters.responses;
-        stream_result result{stream_failure::none, it.was_used,
-                             std::move(response_)};
+        stream_result result{stream_failure::none, it.was_used, it.id,
+                             it.skipped_responses, std::move(response_)};
         calls_.erase(it.call);
         it.call = 0;
         set_buffered(it, 0);
@@ -346,14 +350,15 @@
             return;
         auto& it = *found->second;
         const auto on_end = std::move(it.on_end);
-        const bool was_used = it.was_used;
+        stream_result result{
+            failure, it.was_used, id, it.skipped_responses, {}};
         const bool had_call = it.call != 0;
         calls_.erase(it.call);
         if (!had_call)
             std::erase(idle_, id);
         close(id);
         if (had_call)
-            on_end({failure, was_used, {}});
+            on_end(std::move(result));
     }
 
     void close(std::uint64_t id) {
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -241,6 +241,8 @@
     const auto result = run_call(loop, client, call_with_id("1"));
     BOOST_TEST(result.response.body == "own");
     BOOST_TEST(client.counters().unmatched_responses == 1U);
+    BOOST_TEST(result.skipped_responses == 1U);
+    BOOST_TEST(result.connection == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -403,6 +403,7 @@
     it.log_lines_left_out = log_.left_out();
     it.target = target_dispatcher_->load();
     it.target_strain = target_dispatcher_->offered_load(now);
+    it.target_connections = target_->counters();
     it.services = call_router_->targets(now);
     return it;
 }
--- a/source/node/src/relay_hooks.cpp
+++ b/source/node/src/relay_hooks.cpp
@@ -93,6 +93,7 @@
     };
     h.on_event = [this](const relay::call_event& event) {
         log_.call(steady_now(), event);
+        metrics_.on_event(event);
     };
     h.on_finished = [this](const relay::finished_call& call) {
         metrics_.on_call(call);
--- a/source/node/src/relay_log.cpp
+++ b/source/node/src/relay_log.cpp
@@ -2,7 +2,7 @@
 
 namespace redwingwind::node {
 
-bool relay_log::may_write(time_point now) {
+bool relay_log::may_write(time_point now, bool is_refusal) {
     if (now - second_ >= std::chrono::seconds(1)) {
         if (left_out_ > 0)
             log_event(log_channel::call, log_level::info, "lines_left_out",
@@ -11,7 +11,7 @@
         written_ = 0;
         left_out_ = 0;
     }
-    if (written_ < most_lines) {
+    if (written_ < (is_refusal ? most_refusal_lines : most_lines)) {
         ++written_;
         return true;
     }
@@ -25,7 +25,7 @@
 }
 
 void relay_log::call(time_point now, const relay::call_event& event) {
-    if (!may_write(now))
+    if (!may_write(now, event.name == "turned_away"))
         return;
     nlohmann::json fields{{"node", self_.value},
                           {"request_id", id_of(event)},
@@ -39,10 +39,17 @@
         fields["running"] = event.load.running;
         fields["queued"] = event.load.queued;
         fields["limit"] = event.load.limit;
+        if (event.connection.number != 0) {
+            fields["connection"] = event.connection.number;
+            fields["kept"] = event.connection.was_reused;
+            fields["skipped"] = event.connection.skipped_responses;
+            fields["took_ms"] = milliseconds(event.service_time);
+        }
     } else {
         fields["beside"] = "caller";
         fields["version"] = event.policy_version;
         fields["attempt"] = event.attempt;
+        fields["refusals"] = event.refusals;
         fields["strain"] = event.offered_load;
     }
     log_event(log_channel::call, log_level::info, std::string(event.name),
--- a/source/node/src/relay_log.hpp
+++ b/source/node/src/relay_log.hpp
@@ -25,12 +25,15 @@
   private:
     /// Lines in a second, before lines are left out.
     static constexpr std::uint32_t most_lines = 40;
+    /// Of these, before lines about rejected calls are left out: under load
+    /// there are many, and the others tell more.
+    static constexpr std::uint32_t most_refusal_lines = 25;
     /// Callers choose their ids; longer ones are cut, so that a line is
     /// always short enough to be written.
     static constexpr std::size_t most_id_bytes = 256;
 
     static std::string id_of(const relay::call_event& event);
-    bool may_write(time_point now);
+    bool may_write(time_point now, bool is_refusal);
 
     node_name self_;
     time_point second_{};
--- a/source/node/src/relay_metrics.cpp
+++ b/source/node/src/relay_metrics.cpp
@@ -72,6 +72,10 @@
                     .Name("redwingwind_runs_total")
                     .Help("Calls that came to the target of this node")
                     .Register(registry_)),
+          repeats_(prometheus::BuildCounter()
+                       .Name("redwingwind_repeats_total")
+                       .Help("Calls given to a target once more")
+                       .Register(registry_)),
           waits_(prometheus::BuildHistogram()
                      .Name("redwingwind_wait_seconds")
                      .Help("Time before the target beside this node")
@@ -101,6 +105,16 @@
             times_.Observe(seconds(run.service_time));
     }
 
+    void on_event(const relay::call_event& event) {
+        if (event.name != "repeated")
+            return;
+        auto& count = repeat_counts_[event.error];
+        if (count == nullptr)
+            count =
+                &repeats_.Add({{"why", std::string(to_string(event.error))}});
+        count->Increment();
+    }
+
     std::string text(const relay_gauges& now) {
         prometheus::Registry gauges;
         set(gauges, "live_nodes", "Nodes that count as alive, this one too",
@@ -125,6 +139,12 @@
             now.target.limit);
         set(gauges, "target_strain",
             "Work that comes and waits, by what it can do", now.target_strain);
+        set(gauges, "target_connections_opened",
+            "Connections opened to the target, since the start",
+            static_cast<double>(now.target_connections.opened));
+        set(gauges, "target_unmatched_responses",
+            "Responses of the target that no call waited for, since the start",
+            static_cast<double>(now.target_connections.unmatched_responses));
         set_services(gauges, now.services);
         auto all = registry_.Collect();
         auto more = gauges.Collect();
@@ -162,11 +182,13 @@
     prometheus::Family<prometheus::Counter>& calls_;
     prometheus::Family<prometheus::Histogram>& latency_;
     prometheus::Family<prometheus::Counter>& runs_;
+    prometheus::Family<prometheus::Counter>& repeats_;
     prometheus::Histogram& waits_;
     prometheus::Histogram& times_;
     // By the literals of name_of().
     std::map<series_key, call_series> call_series_;
     std::map<const char*, prometheus::Counter*> run_counts_;
+    std::map<error_code, prometheus::Counter*> repeat_counts_;
 };
 
 relay_metrics::relay_metrics() : impl_(std::make_unique<impl>()) {}
@@ -181,6 +203,10 @@
     impl_->on_run(run);
 }
 
+void relay_metrics::on_event(const relay::call_event& event) {
+    impl_->on_event(event);
+}
+
 std::string relay_metrics::text(const relay_gauges& now) const {
     return impl_->text(now);
 }
--- a/source/node/src/relay_metrics.hpp
+++ b/source/node/src/relay_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <redwingwind/io/stream_client.hpp>
 #include <redwingwind/overload/balancer.hpp>
 #include <redwingwind/relay/call.hpp>
 #include <redwingwind/relay/call_router.hpp>
@@ -23,6 +24,7 @@
     std::uint64_t store_calls{};
     std::uint64_t log_lines_left_out{};
     overload::load_report target;
+    io::stream_client_counters target_connections;
     double target_strain{};
     std::vector<relay::service_targets> services;
 };
@@ -38,6 +40,8 @@
 
     void on_call(const relay::finished_call& call);
     void on_run(const relay::finished_execution& run);
+    /// Counts calls that were sent again, by the reason.
+    void on_event(const relay::call_event& event);
     std::string text(const relay_gauges& now) const;
 
   private:
--- a/source/relay/include/redwingwind/relay/call.hpp
+++ b/source/relay/include/redwingwind/relay/call.hpp
@@ -62,11 +62,24 @@
     unknown
 };
 
+/// The connection to the target on which a call's result arrived, for the log.
+struct target_connection {
+    /// From 1, in the order in which they were opened; 0 for none.
+    std::uint64_t number{};
+    /// It had served an earlier call.
+    bool was_reused{};
+    /// Responses to other calls that were read before the result.
+    std::uint32_t skipped_responses{};
+
+    auto operator<=>(const target_connection&) const = default;
+};
+
 struct target_result {
     target_outcome outcome{target_outcome::unknown};
     http_response response;
     /// Never reached: the connection was refused or not established.
     bool is_unreachable{};
+    target_connection connection{};
 };
 
 /// How a call from a caller on this instance ended, for the metrics.
@@ -99,12 +112,19 @@
     node_name peer;
     std::uint64_t policy_version{};
     std::uint32_t attempt{};
+    /// How often targets reported that they did not execute the call; only
+    /// from the caller's node.
+    std::uint32_t refusals{};
     bool is_nested{};
     std::int64_t time_left_ms{};
     /// The target's node decided; otherwise the caller's node.
     bool is_at_target{};
     /// Load of the target; only from the target's node.
     overload::load_report load;
+    /// Only from the target's node, for a call that was sent to the target.
+    target_connection connection{};
+    /// Time at the target; only with the connection.
+    duration service_time{};
     /// Highest offered load reported for a service on the call's route; only
     /// from the caller's node.
     double offered_load{};
--- a/source/relay/include/redwingwind/relay/target_dispatcher.hpp
+++ b/source/relay/include/redwingwind/relay/target_dispatcher.hpp
@@ -131,8 +131,8 @@
     using call_map = std::unordered_map<std::uint64_t, open_call>;
     /// Removes the call from both indexes.
     open_call take(call_map::iterator found);
-    void emit_event(const open_call& it, time_point now, std::string_view name,
-                    error_code error) const;
+    call_event make_event(const open_call& it, time_point now,
+                          std::string_view name, error_code error) const;
     coordination::relay_reply_frame make_reply(const open_call& it,
                                                time_point now) const;
 
--- a/source/relay/src/call_router.cpp
+++ b/source/relay/src/call_router.cpp
@@ -335,6 +335,7 @@
         give_up(now, it);
         return;
     }
+    emit_event(it, now, "repeated", error_code::target_shed);
     // At the limit of targets per call, the last one is tried again.
     std::optional<node_name> other;
     if (it.attempts + 1 < it.max_attempts)
@@ -492,6 +493,7 @@
     event.peer = it.node;
     event.policy_version = policy_version();
     event.attempt = it.attempts;
+    event.refusals = it.sheds;
     event.offered_load = root_admission_.max_offered_load(now, it.route);
     event.is_nested = it.is_nested;
     event.time_left_ms = milliseconds(it.deadline - now);
--- a/source/relay/src/target_dispatcher.cpp
+++ b/source/relay/src/target_dispatcher.cpp
@@ -80,9 +80,9 @@
     return reply;
 }
 
-void target_dispatcher::emit_event(const open_call& it, time_point now,
-                                   std::string_view name,
-                                   error_code error) const {
+call_event target_dispatcher::make_event(const open_call& it, time_point now,
+                                         std::string_view name,
+                                         error_code error) const {
     call_event event;
     event.name = name;
     event.id = it.call.id;
@@ -93,7 +93,7 @@
     event.time_left_ms = milliseconds(it.deadline - now);
     event.is_at_target = true;
     event.load = gate_.load();
-    hooks_.on_event(event);
+    return event;
 }
 
 void target_dispatcher::on_call(time_point now, const node_incarnation& from,
@@ -172,7 +172,7 @@
     reply.why = error;
     reply.retry_after_ms =
         static_cast<std::uint32_t>(milliseconds(retry_after));
-    emit_event(it, now, "turned_away", error);
+    hooks_.on_event(make_event(it, now, "turned_away", error));
     hooks_.on_finished({outcome::not_run, error, now - it.arrived, {}});
     hooks_.reply(it.key.caller, reply);
 }
@@ -267,8 +267,12 @@
     }
     hooks_.on_finished(
         {reply.what, reply.why, it.started - it.arrived, now - it.started});
-    if (reply.what != outcome::done)
-        emit_event(it, now, "not_answered", reply.why);
+    if (reply.what != outcome::done) {
+        auto event = make_event(it, now, "not_answered", reply.why);
+        event.connection = result.connection;
+        event.service_time = now - it.started;
+        hooks_.on_event(event);
+    }
     if (!it.is_abandoned)
         hooks_.reply(it.key.caller, reply);
     apply(now, actions);
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -87,7 +87,7 @@
             BOOST_TEST(results.count(exchange) == 0U);
             results[exchange] = std::move(result);
         };
-        h.on_event = [](const call_event&) {};
+        h.on_event = [this](const call_event& e) { events.push_back(e); };
         h.on_finished = [](const auto&) {};
         h.retried_share = [] { return 0.0; };
         h.random = make_random(7);
@@ -110,6 +110,7 @@
 
     std::vector<sent_call> sent_calls;
     std::vector<std::uint64_t> cancelled;
+    std::vector<call_event> events;
     std::map<exchange_id, call_result> results;
     call_router it;
 };
@@ -362,6 +363,19 @@
     BOOST_TEST((node.results.at(1).outcome == outcome::done));
 }
 
+BOOST_AUTO_TEST_CASE(reports_each_sending_after_a_refusal_by_a_target) {
+    router_fixture node;
+    node.it.on_call(start, call_to("/buy/1"));
+    const auto first = node.sent_calls.back().to;
+    node.reply_to_last(node.reply(outcome::not_run, error_code::target_shed));
+    BOOST_REQUIRE(node.events.size() == 1U);
+    const auto& event = node.events.back();
+    BOOST_TEST(event.name == "repeated");
+    BOOST_TEST((event.error == error_code::target_shed));
+    BOOST_TEST((event.peer == first));
+    BOOST_TEST(event.refusals == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_retry_at_a_service_whose_executions_mostly_fail) {
     router_fixture node;
     for (int n = 0; n < 60; ++n) {
