--- /dev/null
+++ b/source/integration/test/faulty_target_test.cpp
@@ -0,0 +1,90 @@
+#include "../../io/test/raw_server.hpp"
+#include "platform_places.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+using namespace redwingwind;
+using namespace redwingwind::integration;
+using namespace std::chrono_literals;
+using io::test::raw_reply;
+using io::test::raw_request;
+using io::test::raw_server;
+
+namespace {
+
+std::string id_of(const raw_request& it) {
+    return io::find_header(it.request.headers, "Request-Id");
+}
+
+std::string refusal_of(const std::string& id) {
+    return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id +
+           "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string response_of(const std::string& id) {
+    const auto body = "done " + id;
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nResponse-Seal: s\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A node of service "front", and two of service "back" whose targets are
+/// played byte by byte.
+struct faulty_targets {
+    using handler = raw_server::handler;
+
+    explicit faulty_targets(const handler& respond)
+        : places(http, {"front", "back", "back"}) {
+        for (const std::size_t n : {1U, 2U}) {
+            auto& place = places.at(n);
+            targets.push_back(
+                std::make_unique<raw_server>(http.loop(), respond));
+            place.target_port = targets.back()->port();
+            place.node->signal(SIGKILL);
+            place.node->wait(5s);
+            places.start_node(n);
+        }
+        places.configure(1);
+        BOOST_REQUIRE(places.wait_served());
+    }
+
+    http_caller http;
+    platform_deployment places;
+    std::vector<std::unique_ptr<raw_server>> targets;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(on_the_platform)
+BOOST_AUTO_TEST_SUITE(a_faulty_target)
+
+// Each request is refused twice and served then. A target writes each refusal
+// once more, where the next response on that connection is due.
+BOOST_AUTO_TEST_CASE(that_repeats_its_refusals_has_no_order_run_twice,
+                     *boost::unit_test::disabled()) {
+    std::map<std::string, int> arrivals;
+    std::map<std::string, int> runs;
+    std::map<std::pair<std::string, std::size_t>, std::string> late;
+    faulty_targets it([&](const raw_request& arrival) {
+        const auto id = id_of(arrival);
+        auto& copy =
+            late[{io::find_header(arrival.request.headers, "Expected-Instance"),
+                  arrival.connection}];
+        const bool is_refused = ++arrivals[id] <= 2;
+        runs[id] += is_refused ? 0 : 1;
+        const auto own = is_refused ? refusal_of(id) : response_of(id);
+        return raw_reply{std::exchange(copy, is_refused ? own : "") + own};
+    });
+    for (int n = 0; n < 10; ++n) {
+        const auto id = "r" + std::to_string(n);
+        const auto answer = it.places.send(0, "/back/", id).response;
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.body == "done " + id);
+        BOOST_TEST(runs[id] == 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -102,6 +102,7 @@
         place->peer = ports_[ports_per_node * n + 3];
         place->metrics = ports_[ports_per_node * n + 4];
         place->target = std::make_unique<test_target>(http_.loop());
+        place->target_port = place->target->port();
         const auto name = std::to_string(place->outbound);
         place->settings_file = temporary_file(name + ".flags");
         place->log_file = log_file(name + ".log");
@@ -125,7 +126,7 @@
     file << "--name=n" << n << "\n--ip=127.0.0.1\n--peer_port=" << it.peer
          << "\n--region=r\n--domain=" << it.domain
          << "\n--service=" << it.service
-         << "\n--target=" << local(it.target->port())
+         << "\n--target=" << local(it.target_port)
          << "\n--outbound=" << local(it.outbound)
          << "\n--readiness=" << local(it.readiness)
          << "\n--announce=" << local(it.announce)
@@ -182,7 +183,7 @@
     constexpr std::uint32_t slots = 8;
     auto& it = at(n);
     const nlohmann::json said{
-        {"service", it.service}, {"address", local(it.target->port())},
+        {"service", it.service}, {"address", local(it.target_port)},
         {"zone", it.domain},     {"version", "v1"},
         {"slots", slots},        {"state", state},
         {"cold_remaining_s", 0}, {"sequence", ++it.sequence}};
--- a/source/integration/test/platform_places.hpp
+++ b/source/integration/test/platform_places.hpp
@@ -71,6 +71,9 @@
     std::uint16_t peer{};
     std::uint64_t sequence{};
     std::unique_ptr<test_target> target;
+    /// Where the node sends the target's calls; a test that sets another port
+    /// starts the node anew.
+    std::uint16_t target_port{};
     std::unique_ptr<process> node;
     std::string settings_file;
     /// Lines of all its lives.
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -1,12 +1,16 @@
 #define BOOST_TEST_MODULE http1_streams
 #include "raw_peers.hpp"
+#include "raw_server.hpp"
 
 #include <redwingwind/io/http.hpp>
 
 #include <boost/test/unit_test.hpp>
 
+#include <rapidcheck.h>
+
 #include <cerrno>
 #include <csignal>
+#include <map>
 
 using namespace redwingwind;
 using namespace redwingwind::io;
@@ -245,6 +249,55 @@
     BOOST_TEST(result.connection == 1U);
 }
 
+// The late copy has the echo value of the request that waits.
+BOOST_AUTO_TEST_CASE(
+    gives_a_resent_request_no_copy_of_the_response_to_the_first_sending,
+    *boost::unit_test::disabled()) {
+    reactor loop;
+    std::map<std::size_t, std::string> copies;
+    int arrivals = 0;
+    raw_server target(loop, [&](const raw_request& it) {
+        const auto own =
+            response_to("1", ++arrivals == 1 ? "refused" : "served");
+        return raw_reply{std::exchange(copies[it.connection], own) + own};
+    });
+    stream_client client(loop, options_for_port(target.port()));
+    BOOST_TEST(run_call(loop, client, call_with_id("1")).response.body ==
+               "refused");
+    BOOST_TEST(run_call(loop, client, call_with_id("1")).response.body ==
+               "served");
+}
+
+// Each response carries the number of the sending that it belongs to; copies
+// of any earlier response of a connection may precede the next one on it.
+BOOST_AUTO_TEST_CASE(gives_each_sending_its_own_response_whatever_comes_late,
+                     *boost::unit_test::disabled()) {
+    const bool holds = rc::check([] {
+        reactor loop;
+        std::map<std::size_t, std::vector<std::string>> written;
+        int arrivals = 0;
+        raw_server target(loop, [&](const raw_request& it) {
+            auto& earlier = written[it.connection];
+            std::string bytes;
+            if (!earlier.empty() && *rc::gen::arbitrary<bool>())
+                bytes = *rc::gen::elementOf(earlier);
+            earlier.push_back(response_to(find_header(it.request.headers, "Id"),
+                                          std::to_string(++arrivals)));
+            return raw_reply{bytes + earlier.back()};
+        });
+        stream_client client(loop, options_for_port(target.port()));
+        const auto ids =
+            *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+        for (const auto id : ids) {
+            const auto sent = arrivals;
+            const auto result =
+                run_call(loop, client, call_with_id(std::to_string(id)));
+            RC_ASSERT(result.response.body == std::to_string(sent + 1));
+        }
+    });
+    BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(
     rejects_a_response_without_echo_header_on_a_reused_connection) {
     reactor loop;
