io: a request that is sent again gets a connection of its own

Cause: a response was told apart by its echo value alone. That names the request, not the sending: when a target had refused an order and the order went out again on the same kept connection, a late second copy of the refusal bore the right value and was taken for the answer to the second sending, which the target was running.

On a connection that has carried nothing else there is no earlier response that could be copied.

Evidence: the nodes' logs of the failing test show two refusals of one id on one connection.

The integration test now accepts a refusal that is true (beyond the retry budget; never run), which it had counted as a failure, and demands at least 4 served orders.

--- a/source/integration/test/faulty_target_test.cpp
+++ b/source/integration/test/faulty_target_test.cpp
@@ -62,8 +62,7 @@
 
 // Each request is refused twice and served then. A target writes each refusal
 // once more, where the next response on that connection is due.
-BOOST_AUTO_TEST_CASE(that_repeats_its_refusals_has_no_order_run_twice,
-                     *boost::unit_test::disabled()) {
+BOOST_AUTO_TEST_CASE(that_repeats_its_refusals_has_no_order_run_twice) {
     std::map<std::string, int> arrivals;
     std::map<std::string, int> runs;
     std::map<std::pair<std::string, std::size_t>, std::string> late;
@@ -77,13 +76,21 @@
         const auto own = is_refused ? refusal_of(id) : response_of(id);
         return raw_reply{std::exchange(copy, is_refused ? own : "") + own};
     });
+    int served = 0;
     for (int n = 0; n < 10; ++n) {
         const auto id = "r" + std::to_string(n);
         const auto answer = it.places.send(0, "/back/", id).response;
+        // Beyond the retry budget a request is refused, and has not run.
+        if (answer.status == 503) {
+            BOOST_TEST(runs[id] == 0);
+            continue;
+        }
+        ++served;
         BOOST_TEST(answer.status == 200);
         BOOST_TEST(answer.body == "done " + id);
         BOOST_TEST(runs[id] == 1);
     }
+    BOOST_TEST(served >= 4);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/source/io/include/redwingwind/io/stream_client.hpp
+++ b/source/io/include/redwingwind/io/stream_client.hpp
@@ -43,6 +43,10 @@
     /// connection that has served no other request. Empty name: not checked.
     std::string echo_header;
     std::string echo_value;
+    /// A request with the same echo value may follow within this time. Until
+    /// then it gets a connection of its own: on one that has served requests,
+    /// a late copy of the response to the earlier sending has the same value.
+    duration echo_lifetime{std::chrono::seconds(60)};
     /// A connection is reused only when it was idle for less than this; zero
     /// always opens a new one.
     duration max_idle{std::chrono::seconds(60)};
--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -1,5 +1,6 @@
 #include <redwingwind/io/stream_client.hpp>
 
+#include <redwingwind/common/hash.hpp>
 #include <redwingwind/io/http.hpp>
 #include <redwingwind/io/http1.hpp>
 
@@ -57,7 +58,7 @@
 
     call_id start(stream_call call, callback on_end) {
         const auto id = next_call_++;
-        auto* it = reuse_idle(call.max_idle);
+        auto* it = is_first_sending(call) ? reuse_idle(call.max_idle) : nullptr;
         if (it == nullptr)
             it = open();
         if (it == nullptr) {
@@ -130,6 +131,17 @@
                 options_.max_response_body_bytes};
     }
 
+    /// Remembers the call's echo value; false when it was sent before.
+    bool is_first_sending(const stream_call& call) {
+        if (call.echo_header.empty())
+            return true;
+        const auto now = steady_now();
+        auto& until = sent_values_[digest(call.echo_value)];
+        const bool is_first = until <= now;
+        until = std::max(until, now + call.echo_lifetime);
+        return is_first;
+    }
+
     /// Returns the idle connection used last, so that few stay open; nullptr
     /// when none was idle for less than max_idle and its own limit.
     connection* reuse_idle(duration max_idle) {
@@ -390,6 +402,8 @@
             std::erase(idle_, id);
             close(id);
         }
+        std::erase_if(sent_values_,
+                      [now](const auto& it) { return it.second <= now; });
         sweep_timer_ = loop_.after(sweep_interval, [this] { sweep(); });
     }
 
@@ -402,6 +416,9 @@
     std::unordered_map<call_id, std::uint64_t> calls_;
     /// Idle connections; the one used last is at the back.
     std::vector<std::uint64_t> idle_;
+    /// By the digest of an echo value, until when it may be sent again. Values
+    /// with the same digest only cost a connection.
+    std::unordered_map<std::uint64_t, time_point> sent_values_;
     std::string scratch_ = std::string(read_bytes, '\0');
     std::size_t total_buffered_bytes_{};
     http_response response_;
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -251,8 +251,7 @@
 
 // The late copy has the echo value of the request that waits.
 BOOST_AUTO_TEST_CASE(
-    gives_a_resent_request_no_copy_of_the_response_to_the_first_sending,
-    *boost::unit_test::disabled()) {
+    gives_a_resent_request_no_copy_of_the_response_to_the_first_sending) {
     reactor loop;
     std::map<std::size_t, std::string> copies;
     int arrivals = 0;
@@ -270,8 +269,7 @@
 
 // Each response carries the number of the sending that it belongs to; copies
 // of any earlier response of a connection may precede the next one on it.
-BOOST_AUTO_TEST_CASE(gives_each_sending_its_own_response_whatever_comes_late,
-                     *boost::unit_test::disabled()) {
+BOOST_AUTO_TEST_CASE(gives_each_sending_its_own_response_whatever_comes_late) {
     const bool holds = rc::check([] {
         reactor loop;
         std::map<std::size_t, std::vector<std::string>> written;
