io: a request without an echo value gets a connection of its own

Such a request now never goes on a connection that has served others.

Test: gives_a_request_without_echo_value_no_late_response, which got the late response before (late != own); stream-test passes.

--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -131,10 +131,13 @@
                 options_.max_response_body_bytes};
     }
 
-    /// Remembers the call's echo value; false when it was sent before.
+    /// Remembers the call's echo value; false when it was sent before. An
+    /// empty one may have been, as it tells no requests apart.
     bool is_first_sending(const stream_call& call) {
         if (call.echo_header.empty())
             return true;
+        if (call.echo_value.empty())
+            return false;
         const auto now = steady_now();
         auto& until = sent_values_[digest(call.echo_value)];
         const bool is_first = until <= now;
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -296,6 +296,23 @@
     BOOST_TEST(holds);
 }
 
+BOOST_AUTO_TEST_CASE(gives_a_request_without_echo_value_no_late_response) {
+    reactor loop;
+    const std::string unnamed =
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\n";
+    raw_server target(loop, [&](const raw_request& it) {
+        if (find_header(it.request.headers, "Id") == "1")
+            return raw_reply{response_to("1", "a")};
+        return raw_reply{(it.index == 0 ? "" : unnamed + "late") + unnamed +
+                         "own "};
+    });
+    stream_client client(loop, options_for_port(target.port()));
+    run_call(loop, client, call_with_id("1"));
+    for (int n = 0; n < 2; ++n)
+        BOOST_TEST(run_call(loop, client, call_with_id("")).response.body ==
+                   "own ");
+}
+
 BOOST_AUTO_TEST_CASE(
     rejects_a_response_without_echo_header_on_a_reused_connection) {
     reactor loop;
