node: a link that never came up takes all its frames with it

When room for a link came up in between, the next frame opened a second link to that peer and arrived, though the report counted it as never sent as well. A call in it would have been placed again: run twice, or answered 503 and run.

Such a link now exists until it is reported down, and takes the frames that are given to it meanwhile, so that none of them is sent. The report can no longer cover a frame of another link.

Test: deliver_no_frame_that_they_report_as_never_sent, which delivered frame 3 before; node-test passes.

--- a/source/node/src/peer_links.cpp
+++ b/source/node/src/peer_links.cpp
@@ -127,14 +127,9 @@
 
     void send(const member_record& to, const frame& message) {
         auto found = opened_.find(to.id);
-        if (found == opened_.end()) {
-            const auto id = open(to);
-            if (id == 0)
-                return;
-            found = opened_.find(to.id);
-        }
-        const auto it = links_.find(found->second);
-        queue(*it->second, message);
+        if (found == opened_.end())
+            found = opened_.emplace(to.id, open(to)).first;
+        queue(*links_.at(found->second), message);
     }
 
     void send_back(const node_incarnation& to, const frame& message) {
@@ -179,38 +174,31 @@
             [this, id = it.id](bool r, bool w) { on_ready(id, r, w); });
     }
 
-    /// 0 when the connection could not even be tried.
+    /// One that can't be connected is closed right after the current event, as
+    /// the caller of send() is not ready for on_down yet. Until then it takes
+    /// frames like any other, so that all of them share its fate.
     std::uint64_t open(const member_record& to) {
-        if (links_.size() >= options_.most_links) {
-            report_down(to.id, false);
-            return 0;
-        }
+        const bool is_full = links_.size() >= options_.most_links;
         auto& it = add(true);
         it.peer = to.id;
-        const ACE_INET_Addr where(to.endpoint.port, to.endpoint.ip.c_str());
-        ACE_SOCK_Connector connector;
-        const ACE_Time_Value no_wait(0, 0);
-        const int result = connector.connect(it.stream, where, &no_wait);
-        if (result != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS &&
-            errno != ETIME) {
-            links_.erase(it.id);
-            report_down(to.id, false);
-            return 0;
+        if (is_full || !connect(it, to.endpoint)) {
+            close_later(it.id);
+            return it.id;
         }
         ++counters.opened;
         it.is_connecting = true;
-        opened_[to.id] = it.id;
         start_watch(it);
         it.watch.set_interest(true, true);
         append_sealed(it, hello_frame{self_, it.own_nonce}, hello_context);
         return it.id;
     }
 
-    /// Not from inside send(): whoever called it is not ready for an answer.
-    void report_down(const node_incarnation& node, bool was_connected) {
-        loop_.after(duration::zero(), [this, node, was_connected] {
-            hooks_.on_down(node, was_connected);
-        });
+    static bool connect(link& it, const coordination::address& endpoint) {
+        const ACE_INET_Addr where(endpoint.port, endpoint.ip.c_str());
+        ACE_SOCK_Connector connector;
+        const ACE_Time_Value no_wait(0, 0);
+        return connector.connect(it.stream, where, &no_wait) == 0 ||
+               errno == EWOULDBLOCK || errno == EINPROGRESS || errno == ETIME;
     }
 
     void accept_all() {
--- a/source/node/test/peer_links_test.cpp
+++ b/source/node/test/peer_links_test.cpp
@@ -22,7 +22,9 @@
 
 /// One node's links, and what they tell it, in order.
 struct end_of_links {
-    end_of_links(io::reactor& loop, const node_incarnation& who) : self(who) {
+    end_of_links(io::reactor& loop, const node_incarnation& who,
+                 link_options options = {})
+        : self(who) {
         peer_links::hooks h;
         h.on_frame = [this](const node_incarnation& from,
                             const coordination::frame& message) {
@@ -30,9 +32,9 @@
             seen.push_back("frame " + std::to_string(cancel.sequence) +
                            " from " + from.name.value);
         };
-        h.on_down = [this](const node_incarnation& node, bool) {
-            seen.push_back("down " + node.name.value + " " +
-                           std::to_string(node.life.value));
+        h.on_down = [this](const node_incarnation& node, bool was_connected) {
+            seen.push_back((was_connected ? "down " : "never up ") +
+                           node.name.value);
         };
         h.on_caller_gone = [this](const node_incarnation& node) {
             seen.push_back("gone " + node.name.value);
@@ -42,7 +44,7 @@
         };
         h.random = make_random(who.life.value);
         links.emplace(loop, keys, self, coordination::address{"127.0.0.1", 0},
-                      link_options{}, std::move(h));
+                      options, std::move(h));
     }
 
     coordination::member_record record() const {
@@ -89,6 +91,26 @@
     BOOST_TEST(wait_seen(caller_again, 1));
 }
 
+// The owner takes all frames to a node for undelivered that it gave before the
+// report of a link that never came up.
+BOOST_AUTO_TEST_CASE(deliver_no_frame_that_they_report_as_never_sent) {
+    link_options options;
+    options.most_links = 1;
+    end_of_links full(loop, life("full", 3), options);
+    end_of_links other(loop, life("other", 4));
+    full.links->send(other.record(), coordination::cancel_frame{1});
+    BOOST_REQUIRE(wait_seen(other, 1));
+    full.links->send(target.record(), coordination::cancel_frame{2});
+    full.links->drop(other.self);
+    full.links->send(target.record(), coordination::cancel_frame{3});
+    BOOST_REQUIRE(wait_seen(full, 2));
+    BOOST_TEST(full.seen.back() == "never up target");
+    BOOST_TEST(!loop.run_until([&] { return !target.seen.empty(); }, 200ms));
+    full.links->send(target.record(), coordination::cancel_frame{4});
+    BOOST_REQUIRE(wait_seen(target, 1));
+    BOOST_TEST(target.seen[0] == "frame 4 from full");
+}
+
 BOOST_AUTO_TEST_CASE(tell_of_a_reply_that_has_no_way_back) {
     target.links->send_back(caller.self, coordination::cancel_frame{1});
     BOOST_REQUIRE(target.seen.size() == 1U);
