relay: a call that was not sent leaves others at that node alone

Same class: when a node's record was gone, a call to it was reported through on_unreachable(), which counts every call at that node as never sent, also those that are running there over a link that lives. They were placed again.

on_not_sent() now names the sequence number of the one frame. Test: places_only_the_call_that_was_not_sent_elsewhere; relay-test passes.

--- a/source/node/src/relay_hooks.cpp
+++ b/source/node/src/relay_hooks.cpp
@@ -72,8 +72,9 @@
             links_->send(*record, call);
             return;
         }
-        loop_.defer([this, to] {
-            call_router_->on_unreachable(steady_now(), to, false);
+        loop_.defer([this, sequence = call.sequence] {
+            call_router_->on_not_sent(steady_now(), sequence);
+            wake();
         });
     };
     h.cancel = [this](const node_name& to,
--- a/source/relay/include/redwingwind/relay/call_router.hpp
+++ b/source/relay/include/redwingwind/relay/call_router.hpp
@@ -119,6 +119,8 @@
     /// was_connected, nothing that was sent on it arrived.
     void on_unreachable(time_point now, const node_name& node,
                         bool was_connected);
+    /// The frame with this sequence number was not sent.
+    void on_not_sent(time_point now, std::uint64_t sequence);
     void tick(time_point now);
     time_point next_due() const;
 
--- a/source/relay/src/call_router.cpp
+++ b/source/relay/src/call_router.cpp
@@ -442,6 +442,14 @@
     }
 }
 
+void call_router::on_not_sent(time_point now, std::uint64_t sequence) {
+    auto* it = find(sequence);
+    if (it == nullptr)
+        return;
+    end_attempt(now, *it, dispatch_result::unreachable);
+    on_rejected(now, *it, error_code::unreachable, no_target_retry_after);
+}
+
 void call_router::tick(time_point now) {
     while (!due_.empty() && due_.top().at <= now) {
         const auto exchange = due_.top().exchange;
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -302,6 +302,22 @@
     BOOST_TEST((node.results.at(1).outcome == outcome::unknown));
 }
 
+// A call that a target already has must not count as never sent.
+BOOST_AUTO_TEST_CASE(places_only_the_call_that_was_not_sent_elsewhere) {
+    router_fixture node;
+    node.it.remove_target({"node-b"});
+    node.it.on_call(start, call_to("/buy/1", 1));
+    node.it.on_call(start, call_to("/buy/2", 2));
+    node.it.add_target({"orders"}, {{"node-b"}, {"d"}, 10});
+    node.it.on_not_sent(start, node.sent_calls.back().call.sequence);
+    BOOST_REQUIRE(node.sent_calls.size() == 3U);
+    BOOST_TEST((node.sent_calls.back().to == node_name{"node-b"}));
+    BOOST_TEST(node.sent_calls.back().call.id.value == "id-2");
+    // Its end is reported twice; the second report finds nothing.
+    node.it.on_not_sent(start, node.sent_calls[1].call.sequence);
+    BOOST_TEST(node.sent_calls.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(admits_only_calls_that_can_finish_before_it_stops) {
     router_fixture node;
     node.it.on_call(start, call_to("/look/a", 1));
