node: whatever comes as JSON is read within bounds

- an entry of the own interface's seeds with an address of another type threw out of the callback and ended the node;
- slots beyond 32 bits were cut to their low bits, so 4,294,967,304 became 8;
- an address with a host name in place of an IP was looked up, in the event loop, each time that it was used;
- heartbeats, seeds, graph and usage documents of any depth were read.

read_json() bounds the depth, json_count() takes whole numbers in a range, parse_address() takes numeric addresses only.

Trials of the older checks without these changes were not run; slots and names were accepted by what the code read.

--- a/source/common/include/redwingwind/common/json_text.hpp
+++ b/source/common/include/redwingwind/common/json_text.hpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -18,6 +20,18 @@
 /// beyond a double's range. Never throws.
 nlohmann::json read_json(std::string_view text);
 
+/// A whole number from 0 to most among an object's members; nothing when it is
+/// missing, of another type or out of range.
+template <class Number>
+std::optional<Number> json_count(const nlohmann::json& object, const char* name,
+                                 Number most) {
+    const auto it = object.find(name);
+    if (it == object.end() || !it->is_number_unsigned() ||
+        it->template get<std::uint64_t>() > most)
+        return std::nullopt;
+    return static_cast<Number>(it->template get<std::uint64_t>());
+}
+
 /// The texts of an array's elements, so that each can be read by itself and
 /// one that can't be read harms no other. Nothing when the text is no array;
 /// the elements themselves are not checked.
--- a/source/coordination/src/member.cpp
+++ b/source/coordination/src/member.cpp
@@ -2,6 +2,10 @@
 
 #include <absl/strings/numbers.h>
 
+#include <arpa/inet.h>
+
+#include <utility>
+
 namespace redwingwind::coordination {
 namespace {
 
@@ -19,7 +23,12 @@
     if (colon == std::string::npos ||
         !absl::SimpleAtoi(text.substr(colon + 1), &port) || port > max_port)
         return {};
-    return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+    auto ip = text.substr(0, colon);
+    // A name would be looked up where the address is used, which blocks.
+    in_addr numeric{};
+    if (inet_pton(AF_INET, ip.c_str(), &numeric) != 1)
+        return {};
+    return {std::move(ip), static_cast<std::uint16_t>(port)};
 }
 
 std::string to_string(member_state state) {
--- a/source/node/src/node_daemon.cpp
+++ b/source/node/src/node_daemon.cpp
@@ -1,6 +1,7 @@
 #include "node_daemon.hpp"
 
 #include <redwingwind/common/hash.hpp>
+#include <redwingwind/common/json_text.hpp>
 #include <redwingwind/common/log.hpp>
 #include <redwingwind/platform_adapter/object_store.hpp>
 
@@ -30,6 +31,7 @@
 constexpr auto least_timer = std::chrono::milliseconds(1);
 constexpr auto stop_poll = std::chrono::milliseconds(20);
 constexpr std::size_t most_tickets_per_request = 1000;
+constexpr std::uint32_t most_slots = 1000000;
 constexpr duration store_timeout = std::chrono::seconds(2);
 constexpr auto ticket_path = "/rww/tickets";
 
@@ -394,12 +396,11 @@
 }
 
 void node_daemon::on_announce(const http_server::exchange& exchange) {
-    const auto json =
-        nlohmann::json::parse(exchange.request.body, nullptr, false);
+    const auto json = read_json(exchange.request.body);
     engine::target_announcement announcement;
     try {
         announcement.service = {json.at("service").get<std::string>()};
-        announcement.slots = json.at("slots").get<std::uint32_t>();
+        announcement.slots = json_count(json, "slots", most_slots).value_or(0);
         announcement.instance = json.value("instance", std::string());
         announcement.warm_up =
             std::chrono::milliseconds(json.value("warm_up_ms", 0));
@@ -408,7 +409,7 @@
         if (!is_valid_name(announcement.service.value) ||
             announcement.slots == 0 || address.port == 0) {
             exchange.respond(bad_request(
-                "service is a name, slots at least 1, address IP:PORT"));
+                "service is a name, slots 1 to 1000000, address IP:PORT"));
             return;
         }
         target_url_ = "http://" + to_string(address);
--- a/source/node/src/platform_agent.cpp
+++ b/source/node/src/platform_agent.cpp
@@ -1,6 +1,7 @@
 #include "platform_agent.hpp"
 
 #include <redwingwind/common/error.hpp>
+#include <redwingwind/common/json_text.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -154,30 +155,29 @@
         return;
     }
     ++counters_.calls;
-    store_.list(
-        meeting_kind, freshness::may_lag,
-        [this](absl::StatusOr<object_list> seen) {
-            auto next = options_.lonely_interval;
-            if (seen.ok()) {
-                for (const auto& it : seen->objects) {
-                    const auto told =
-                        nlohmann::json::parse(it.content, nullptr, false);
-                    if (!told.is_object() || !told.contains("meet") ||
-                        !told["meet"].is_string())
-                        continue;
-                    const auto where = coordination::parse_address(
-                        told["meet"].get<std::string>());
-                    if (where.port != 0 && where != self_)
-                        hooks_.on_contact(where);
-                }
-                list_self(seen->objects.size());
-            } else if (code_of(seen.status()) == error_code::not_found) {
-                list_self(0);
-            } else {
-                next = std::max(next, pause());
-            }
-            hooks_.after(next, [this] { find_peers(); });
-        });
+    store_.list(meeting_kind, freshness::may_lag,
+                [this](absl::StatusOr<object_list> seen) {
+                    auto next = options_.lonely_interval;
+                    if (seen.ok()) {
+                        for (const auto& it : seen->objects) {
+                            const auto told = read_json(it.content);
+                            if (!told.is_object() || !told.contains("meet") ||
+                                !told["meet"].is_string())
+                                continue;
+                            const auto where = coordination::parse_address(
+                                told["meet"].get<std::string>());
+                            if (where.port != 0 && where != self_)
+                                hooks_.on_contact(where);
+                        }
+                        list_self(seen->objects.size());
+                    } else if (code_of(seen.status()) ==
+                               error_code::not_found) {
+                        list_self(0);
+                    } else {
+                        next = std::max(next, pause());
+                    }
+                    hooks_.after(next, [this] { find_peers(); });
+                });
 }
 
 void platform_agent::list_self(std::size_t listed) {
--- a/source/node/src/store_agent.cpp
+++ b/source/node/src/store_agent.cpp
@@ -1,6 +1,7 @@
 #include "store_agent.hpp"
 
 #include <redwingwind/common/error.hpp>
+#include <redwingwind/common/json_text.hpp>
 #include <redwingwind/coordination/rendezvous.hpp>
 #include <redwingwind/policy/graph_document.hpp>
 
@@ -106,11 +107,12 @@
 
 void store_agent::on_seeds(const listing& seeds) {
     for (const auto& it : seeds.objects) {
-        const auto json = nlohmann::json::parse(it.value, nullptr, false);
-        if (!json.is_object() || !json.contains("address"))
+        const auto json = read_json(it.value);
+        if (!json.is_object() || !json.contains("address") ||
+            !json["address"].is_string())
             continue;
         const auto where =
-            coordination::parse_address(json.value("address", std::string()));
+            coordination::parse_address(json["address"].get<std::string>());
         if (where.port != 0)
             core_.add_contact(where);
     }
--- a/source/policy/src/graph_document.cpp
+++ b/source/policy/src/graph_document.cpp
@@ -1,6 +1,7 @@
 #include <redwingwind/policy/graph_document.hpp>
 
 #include <redwingwind/common/error.hpp>
+#include <redwingwind/common/json_text.hpp>
 #include <redwingwind/policy/policy_json.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -102,7 +103,7 @@
 
 absl::StatusOr<graph_document> parse_document(const std::string& text) {
     try {
-        const auto json = nlohmann::json::parse(text);
+        const auto json = read_json(text);
         auto policy = policy_from_json(json.at("policy"));
         if (!policy.ok())
             return policy.status();
--- a/source/usage/src/roll_up.cpp
+++ b/source/usage/src/roll_up.cpp
@@ -2,6 +2,7 @@
 
 #include <redwingwind/common/error.hpp>
 #include <redwingwind/common/hash.hpp>
+#include <redwingwind/common/json_text.hpp>
 
 #include <absl/strings/str_cat.h>
 
@@ -121,7 +122,7 @@
 
 absl::StatusOr<usage_document> parse_usage(const std::string& text) {
     try {
-        const auto json = nlohmann::json::parse(text);
+        const auto json = read_json(text);
         usage_document document;
         for (const auto& it : json.at("rows"))
             document.content.merge(row_from_json(it));
