io: fields behind a chunked body are no header fields

The reader took trailer fields for header fields, of responses and requests: a target's Not-Executed, Response-Seal or Request-Id there counted, and so did a caller's. They are left out now.

Test: takes_no_field_behind_a_chunked_body_for_a_header, both checks failed before; stream-, io- and pipelining-test pass. Nothing in the record shows that a target sent such fields.

--- a/source/io/src/http1.cpp
+++ b/source/io/src/http1.cpp
@@ -139,10 +139,13 @@
         }
         void on_field_impl(beast::http::field, string_view name,
                            string_view value, error_code&) override {
+            // Fields behind a chunked body say nothing about the message.
+            if (is_header_read_)
+                return;
             message_.headers.push_back({std::string(to_std_view(name)),
                                         std::string(to_std_view(value))});
         }
-        void on_header_impl(error_code&) override {}
+        void on_header_impl(error_code&) override { is_header_read_ = true; }
         void on_body_init_impl(const boost::optional<std::uint64_t>&,
                                error_code&) override {}
         std::size_t on_body_impl(string_view bytes, error_code&) override {
@@ -159,6 +162,8 @@
         void on_finish_impl(error_code&) override {}
 
         message_parser& message_;
+        /// The header fields have been read.
+        bool is_header_read_{};
     };
 
     std::unique_ptr<beast_parser> beast_parser_;
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -406,6 +406,25 @@
             }
 }
 
+// A target could otherwise report behind a body that it did not run the call.
+BOOST_AUTO_TEST_CASE(takes_no_field_behind_a_chunked_body_for_a_header) {
+    reactor loop;
+    raw_server target(loop, [&](const raw_request&) {
+        return raw_reply{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                         "Id: 1\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\n\r\n"};
+    });
+    stream_client client(loop, options_for_port(target.port()));
+    const auto result = run_call(loop, client, call_with_id("1"));
+    BOOST_TEST(result.response.body == "body");
+    BOOST_TEST(find_header(result.response.headers, "A").empty());
+    recording_server server(loop);
+    raw_client caller(loop, server.it.port());
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                "\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n");
+    BOOST_TEST(caller.wait_for("ok"));
+    BOOST_TEST(find_header(server.requests.at(0).request.headers, "A").empty());
+}
+
 BOOST_AUTO_TEST_CASE(reports_truncated_and_invalid_responses) {
     reactor loop;
     scripted_server target(loop,
