node: calls to a target of the own interface go through stream_client

These calls now go through stream_client, with the call's id as echo value. A target that returns Rww-Request-Id keeps its connections; where it doesn't, a connection is not used again, here and on the users' platform. Calls that may repeat are still sent once more when a kept connection ends without a response; the others are not sent on a connection idle for over a second. target_client holds this, the time limit and the change of the address, which were in node_daemon.

--- a/source/integration/test/faulty_target_test.cpp
+++ b/source/integration/test/faulty_target_test.cpp
@@ -55,8 +55,85 @@
     std::vector<std::unique_ptr<raw_server>> targets;
 };
 
+/// A node on the product's own interface; the target beside it is played byte
+/// by byte.
+struct own_interface {
+    explicit own_interface(const raw_server::handler& respond)
+        : places(http, {{""}, "", {}, {}}), target(http.loop(), respond) {
+        const nlohmann::json said{
+            {"service", "front"},
+            {"slots", 8},
+            {"address", "127.0.0.1:" + std::to_string(target.port())}};
+        BOOST_REQUIRE(http.wait_until(
+            [&] {
+                return http.post(places.at(0).local_url() + "/announce",
+                                 said.dump())
+                           .response.status == 200;
+            },
+            10s));
+    }
+
+    io::http_result send(const std::string& id) {
+        return http.call(places.make_call(0, "/front/work", id));
+    }
+
+    http_caller http;
+    deployment places;
+    raw_server target;
+};
+
+std::string own_response(const std::string& id, bool is_named) {
+    return "HTTP/1.1 200 OK\r\n" +
+           (is_named ? "Rww-Request-Id: " + id + "\r\n" : std::string()) +
+           "Content-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
+}
+
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(on_the_own_interface)
+BOOST_AUTO_TEST_SUITE(a_faulty_target)
+
+// Before each response the one before it on the connection comes once more.
+BOOST_AUTO_TEST_CASE(that_repeats_its_responses_mixes_no_calls) {
+    for (const bool is_named : {true, false}) {
+        std::map<std::size_t, std::string> late;
+        own_interface it([&](const raw_request& arrival) {
+            const auto own = own_response(
+                io::find_header(arrival.request.headers, "Rww-Request-Id"),
+                is_named);
+            return raw_reply{std::exchange(late[arrival.connection], own) +
+                             own};
+        });
+        for (const std::string id : {"r1", "r2", "r3"}) {
+            const auto result = it.send(id);
+            BOOST_TEST(outcome_of(result) == "done");
+            BOOST_TEST(result.response.body == id);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(that_stops_within_its_header_has_no_success) {
+    own_interface it([&](const raw_request&) {
+        return raw_reply{"HTTP/1.1 200 OK\r\nContent-Len",
+                         raw_reply::ending::closes};
+    });
+    BOOST_TEST(outcome_of(it.send("r1")) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(that_closed_a_kept_connection_fails_no_browsing) {
+    own_interface it([&](const raw_request& arrival) {
+        if (arrival.index > 0)
+            return raw_reply{"", raw_reply::ending::closes};
+        return raw_reply{own_response(
+            io::find_header(arrival.request.headers, "Rww-Request-Id"), true)};
+    });
+    for (const std::string id : {"r1", "r2", "r3"})
+        BOOST_TEST(outcome_of(it.send(id)) == "done");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(on_the_platform)
 BOOST_AUTO_TEST_SUITE(a_faulty_target)
 
--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -341,9 +341,13 @@
         set_buffered(it, 0);
         const auto on_end = std::move(it.on_end);
         const auto server_timeout = keep_alive_timeout(result.response.headers);
-        // The connection cannot be reused when bytes follow the response or
-        // when part of the request is unsent.
-        if (is_kept_alive && it.in.empty() && it.out.empty()) {
+        // The connection cannot be reused when bytes follow the response, when
+        // part of the request is unsent, or when the server does not name the
+        // requests of its responses.
+        const bool is_named =
+            it.echo_header.empty() ||
+            !find_header(result.response.headers, it.echo_header).empty();
+        if (is_kept_alive && is_named && it.in.empty() && it.out.empty()) {
             it.was_used = true;
             it.state_since = steady_now();
             it.idle_limit = options_.idle_timeout;
--- a/source/node/src/node_daemon.cpp
+++ b/source/node/src/node_daemon.cpp
@@ -20,13 +20,8 @@
 using engine::call_request;
 using engine::call_response;
 using engine::outcome;
-using engine::target_end;
-using engine::target_result;
-using io::http_failure;
-using io::http_result;
 using io::http_server;
 
-constexpr long target_idle_connections = 512;
 constexpr long store_idle_connections = 4;
 constexpr auto least_timer = std::chrono::milliseconds(1);
 constexpr auto stop_poll = std::chrono::milliseconds(20);
@@ -75,33 +70,6 @@
     return response;
 }
 
-target_end end_of(const http_result& result) {
-    switch (result.failure) {
-    case http_failure::none:
-        break;
-    case http_failure::not_connected:
-        return target_end::not_connected;
-    case http_failure::timed_out:
-        return target_end::timed_out;
-    default:
-        return target_end::cut_off;
-    }
-    const auto told = io::find_header(result.response.headers, "Rww-Outcome");
-    if (told == "not-run")
-        return target_end::shed;
-    return told == "unknown" ? target_end::unknown : target_end::answered;
-}
-
-target_result result_of(http_result&& result) {
-    target_result told;
-    told.end = end_of(result);
-    told.status = static_cast<std::uint16_t>(result.response.status);
-    told.content_type =
-        io::find_header(result.response.headers, "Content-Type");
-    told.body = std::move(result.response.body);
-    return told;
-}
-
 http_response bad_request(const std::string& text) {
     return {400,
             {{"Rww-Error", "bad_input"}, {"Rww-Outcome", "not-run"}},
@@ -122,8 +90,8 @@
 
 node_daemon::node_daemon(node_settings settings)
     : settings_(std::move(settings)), random_(make_random(random_seed())) {
-    target_client_ =
-        std::make_unique<io::http_client>(loop_, target_idle_connections);
+    target_client_ = std::make_unique<target_client>(
+        loop_, settings_.call_server.max_body_bytes);
     store_client_ =
         std::make_unique<io::http_client>(loop_, store_idle_connections);
     core_ = std::make_unique<engine::node_core>(settings_.core, settings_.keys,
@@ -195,11 +163,7 @@
         dispatch(execution, request, context);
     };
     h.stop = [this](std::uint64_t execution) {
-        const auto it = at_target_.find(execution);
-        if (it == at_target_.end())
-            return;
-        target_client_->cancel(it->second);
-        at_target_.erase(it);
+        target_client_->cancel(execution);
     };
     h.on_event = [this](const engine::core_event& event) {
         log_event_of(event);
@@ -310,9 +274,9 @@
                            const engine::call_context& context) {
     const auto left = request.deadline - steady_now();
     const auto left_ms = std::max<std::int64_t>(milliseconds(left), 1);
-    io::http_call call;
+    target_call call;
     call.method = request.method;
-    call.url = target_url_ + request.path;
+    call.path = request.path;
     call.headers = {{"Rww-Request-Id", request.id.value},
                     {"Rww-Root-Id", request.root.value},
                     {"Rww-Owner", request.owner.value},
@@ -323,14 +287,13 @@
     if (!request.content_type.empty())
         call.headers.push_back({"Content-Type", request.content_type});
     call.body = request.body;
-    call.timeout = std::chrono::milliseconds(left_ms);
-    call.max_body_bytes = settings_.call_server.max_body_bytes;
-    call.may_resend = request.is_idempotent;
-    at_target_[execution] =
-        target_client_->start(call, [this, execution](http_result result) {
-            at_target_.erase(execution);
-            core_->on_target_result(steady_now(), execution,
-                                    result_of(std::move(result)));
+    call.id = request.id.value;
+    call.time_left = std::chrono::milliseconds(left_ms);
+    call.is_idempotent = request.is_idempotent;
+    target_client_->start(
+        execution, std::move(call),
+        [this, execution](const engine::target_result& result) {
+            core_->on_target_result(steady_now(), execution, result);
             wake();
         });
 }
@@ -412,7 +375,7 @@
                 "service is a name, slots 1 to 1000000, address IP:PORT"));
             return;
         }
-        target_url_ = "http://" + to_string(address);
+        target_client_->set_address(address);
     } catch (const nlohmann::json::exception& e) {
         exchange.respond(bad_request(
             absl::StrCat("announce {service, address, slots, instance, "
--- a/source/node/src/node_daemon.hpp
+++ b/source/node/src/node_daemon.hpp
@@ -6,12 +6,12 @@
 
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "datagram_socket.hpp"
 #include "node_settings.hpp"
 #include "peer_links.hpp"
 #include "store_agent.hpp"
+#include "target_client.hpp"
 
 namespace redwingwind::node {
 
@@ -49,7 +49,7 @@
     node_settings settings_;
     io::reactor loop_;
     random_hook random_;
-    std::unique_ptr<io::http_client> target_client_;
+    std::unique_ptr<target_client> target_client_;
     std::unique_ptr<io::http_client> store_client_;
     std::unique_ptr<engine::node_core> core_;
     std::unique_ptr<peer_links> links_;
@@ -57,8 +57,6 @@
     std::unique_ptr<store_agent> agent_;
     std::unique_ptr<io::http_server> call_server_;
     std::unique_ptr<io::http_server> local_server_;
-    std::string target_url_;
-    std::unordered_map<std::uint64_t, io::http_client::call_id> at_target_;
     io::reactor::timer_id timer_{};
     time_point timer_due_{};
     bool is_stopping_{};
--- a/source/stand_in/src/target_main.cpp
+++ b/source/stand_in/src/target_main.cpp
@@ -197,7 +197,19 @@
         return best;
     }
 
+    /// Each response names its request.
+    static void name_responses(io::http_server::exchange& exchange) {
+        exchange.respond =
+            [respond = std::move(exchange.respond),
+             id = io::find_header(exchange.request.headers, "Rww-Request-Id")](
+                http_response response) {
+                response.headers.push_back({"Rww-Request-Id", id});
+                respond(std::move(response));
+            };
+    }
+
     void arrive(io::http_server::exchange exchange) {
+        name_responses(exchange);
         const auto* way = find_route(io::path_of(exchange.request.target));
         if (way == nullptr) {
             exchange.respond({404, {}, "no such route\n"});
