--- a/source/common/src/json_text.cpp
+++ b/source/common/src/json_text.cpp
@@ -93,9 +93,8 @@
 
 nlohmann::json read_json(std::string_view text) {
     json_cursor cursor(text);
-    const nlohmann::json none(nlohmann::json::value_t::discarded);
     if (cursor.take_value().empty() || cursor.max_depth() > max_json_depth)
-        return none;
+        return nlohmann::json::value_t::discarded;
     return nlohmann::json::parse(text, nullptr, false);
 }
 
