integration: targets that misbehave at random break no promise

The incident was missed as no test ran real nodes against a target that misbehaves. Two targets now refuse, repeat responses at once or late, break off, fall silent and fail at random, under 400 requests; checked are runs of what must run once, refusals of what ran, foreign and partial answers.

--- a/source/integration/test/faulty_target_test.cpp
+++ b/source/integration/test/faulty_target_test.cpp
@@ -3,7 +3,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <cstdlib>
+#include <random>
+#include <set>
 
 using namespace redwingwind;
 using namespace redwingwind::integration;
@@ -55,6 +59,65 @@
     std::vector<std::unique_ptr<raw_server>> targets;
 };
 
+std::uint32_t seed_of_faults() {
+    constexpr std::uint32_t fixed = 20261205;
+    const char* given = std::getenv("RWW_TEST_SEED");
+    return given == nullptr
+               ? fixed
+               : static_cast<std::uint32_t>(std::strtoul(given, nullptr, 10));
+}
+
+/// Targets that misbehave at random, and what they did with each request.
+class random_faults {
+  public:
+    explicit random_faults(std::uint32_t seed) : random_(seed) {}
+
+    raw_reply respond(const raw_request& arrival) {
+        const auto id = id_of(arrival);
+        auto& earlier = written_[{
+            io::find_header(arrival.request.headers, "Expected-Instance"),
+            arrival.connection}];
+        std::string late;
+        if (!earlier.empty() && chance(0.4))
+            late = earlier[random_() % earlier.size()];
+        if (chance(0.3)) {
+            earlier.push_back(refusal_of(id));
+            return {late + earlier.back() +
+                    (chance(0.2) ? earlier.back() : std::string())};
+        }
+        ++runs[id];
+        const bool fails = chance(0.05);
+        const auto whole = fails ? failure_of(id) : response_of(id);
+        if (chance(0.08))
+            return {late + whole.substr(0, random_() % whole.size()),
+                    chance(0.5) ? raw_reply::ending::closes
+                                : raw_reply::ending::resets};
+        if (chance(0.02))
+            return {late};
+        failed.insert(fails ? id : "");
+        earlier.push_back(whole);
+        return {late + whole + (chance(0.1) ? whole : std::string())};
+    }
+
+    std::map<std::string, int> runs;
+    /// Requests that got a whole response of a failure.
+    std::set<std::string> failed;
+
+  private:
+    bool chance(double share) {
+        return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+    }
+
+    static std::string failure_of(const std::string& id) {
+        return "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id +
+               "\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    std::mt19937 random_;
+    std::map<std::pair<std::string, std::size_t>, std::vector<std::string>>
+        written_;
+};
+
 /// A node on the product's own interface; the target beside it is played byte
 /// by byte.
 struct own_interface {
@@ -170,5 +233,57 @@
     BOOST_TEST(served >= 4);
 }
 
+// Late and doubled responses, refusals, parts of responses, silence.
+BOOST_AUTO_TEST_CASE(that_misbehaves_at_random_breaks_no_promise) {
+    random_faults faults(seed_of_faults());
+    faulty_targets it([&](const raw_request& a) { return faults.respond(a); });
+    struct pending {
+        std::string id;
+        bool runs_once{};
+        std::shared_ptr<bool> is_done = std::make_shared<bool>(false);
+        std::shared_ptr<io::http_result> result;
+    };
+    std::vector<pending> all;
+    for (int batch = 0; batch < 40; ++batch) {
+        for (int n = 0; n < 10; ++n) {
+            pending call;
+            call.id = std::to_string(batch) + "-" + std::to_string(n);
+            call.runs_once = n % 3 != 0;
+            auto request = it.places.make_call(
+                0, call.runs_once ? "/back/" : "/again/back/", call.id);
+            request.headers.back().value = "800";
+            call.result = it.http.start(request, call.is_done);
+            all.push_back(call);
+        }
+        it.http.sleep(60ms);
+    }
+    BOOST_REQUIRE(it.http.wait_until(
+        [&] {
+            return std::all_of(all.begin(), all.end(),
+                               [](const auto& call) { return *call.is_done; });
+        },
+        20s));
+    std::size_t served = 0;
+    for (const auto& call : all) {
+        const auto& answer = call.result->response;
+        const auto runs = faults.runs[call.id];
+        const auto shown = call.id + ": " + std::to_string(answer.status) +
+                           ", runs " + std::to_string(runs);
+        if (call.runs_once)
+            BOOST_TEST(runs <= 1, shown);
+        if (call.runs_once && answer.status == 503)
+            BOOST_TEST(runs == 0, shown);
+        if (answer.status == 500)
+            BOOST_TEST(faults.failed.contains(call.id), shown);
+        if (answer.status != 200)
+            continue;
+        ++served;
+        BOOST_TEST(answer.body == "done " + call.id);
+        BOOST_TEST(io::find_header(answer.headers, "Response-Seal") == "s");
+        BOOST_TEST(runs >= 1, shown);
+    }
+    BOOST_TEST(served > all.size() / 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
