io: requests that may be repeated share kept connections

A request that may be repeated can now go on a kept connection that has not carried it; the client remembers which connections carried an echo value. A late copy on its own connection is still never read as its response. One that must run once keeps a connection that has carried nothing.

--- a/source/io/include/redwingwind/io/stream_client.hpp
+++ b/source/io/include/redwingwind/io/stream_client.hpp
@@ -47,6 +47,10 @@
     /// then it gets a connection of its own: on one that has served requests,
     /// a late copy of the response to the earlier sending has the same value.
     duration echo_lifetime{std::chrono::seconds(60)};
+    /// Also allows a connection that has served other requests, but none with
+    /// this echo value. Saves connections where a server that writes an old
+    /// response on any of its connections does no harm.
+    bool may_share_connection{};
     /// A connection is reused only when it was idle for less than this; zero
     /// always opens a new one.
     duration max_idle{std::chrono::seconds(60)};
--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -58,7 +58,10 @@
 
     call_id start(stream_call call, callback on_end) {
         const auto id = next_call_++;
-        auto* it = is_first_sending(call) ? reuse_idle(call.max_idle) : nullptr;
+        auto* carriers = remember(call);
+        auto* it = may_reuse(call, carriers)
+                       ? reuse_idle(call.max_idle, carriers)
+                       : nullptr;
         if (it == nullptr)
             it = open();
         if (it == nullptr) {
@@ -67,6 +70,8 @@
             });
             return id;
         }
+        if (carriers != nullptr)
+            carriers->push_back(it->id);
         it->call = id;
         it->on_end = std::move(on_end);
         it->echo_header = std::move(call.echo_header);
@@ -131,33 +136,50 @@
                 options_.max_response_body_bytes};
     }
 
-    /// Remembers the call's echo value; false when it was sent before. An
-    /// empty one may have been, as it tells no requests apart.
-    bool is_first_sending(const stream_call& call) {
+    /// Numbers of the connections that carried a request.
+    using carrier_list = std::vector<std::uint64_t>;
+    struct sent_value {
+        time_point until;
+        carrier_list carriers;
+    };
+
+    /// Returns the connections that have carried the call's echo value; nullptr
+    /// when the call has none.
+    carrier_list* remember(const stream_call& call) {
+        if (call.echo_header.empty() || call.echo_value.empty())
+            return nullptr;
+        auto& sent = sent_values_[digest(call.echo_value)];
+        sent.until = std::max(sent.until, steady_now() + call.echo_lifetime);
+        return &sent.carriers;
+    }
+
+    static bool may_reuse(const stream_call& call,
+                          const carrier_list* carriers) {
         if (call.echo_header.empty())
             return true;
-        if (call.echo_value.empty())
-            return false;
-        const auto now = steady_now();
-        auto& until = sent_values_[digest(call.echo_value)];
-        const bool is_first = until <= now;
-        until = std::max(until, now + call.echo_lifetime);
-        return is_first;
+        // An empty value tells no requests apart.
+        return carriers != nullptr &&
+               (carriers->empty() || call.may_share_connection);
     }
 
     /// Returns the idle connection used last, so that few stay open; nullptr
-    /// when none was idle for less than max_idle and its own limit.
-    connection* reuse_idle(duration max_idle) {
+    /// when none but the carriers was idle for less than max_idle and its own
+    /// limit.
+    connection* reuse_idle(duration max_idle, const carrier_list* carriers) {
         const auto now = steady_now();
-        while (!idle_.empty()) {
-            auto& it = *connections_.at(idle_.back());
+        for (auto n = idle_.size(); n-- > 0;) {
+            auto& it = *connections_.at(idle_[n]);
             const auto idle_for = now - it.state_since;
             if (idle_for >= max_idle)
                 return nullptr;
-            idle_.pop_back();
-            if (idle_for < it.idle_limit)
-                return &it;
-            close(it.id);
+            const bool is_carrier =
+                carriers != nullptr &&
+                std::find(carriers->begin(), carriers->end(), it.id) !=
+                    carriers->end();
+            if (is_carrier || idle_for >= it.idle_limit)
+                continue;
+            idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(n));
+            return &it;
         }
         return nullptr;
     }
@@ -410,7 +432,7 @@
             close(id);
         }
         std::erase_if(sent_values_,
-                      [now](const auto& it) { return it.second <= now; });
+                      [now](const auto& it) { return it.second.until <= now; });
         sweep_timer_ = loop_.after(sweep_interval, [this] { sweep(); });
     }
 
@@ -423,9 +445,9 @@
     std::unordered_map<call_id, std::uint64_t> calls_;
     /// Idle connections; the one used last is at the back.
     std::vector<std::uint64_t> idle_;
-    /// By the digest of an echo value, until when it may be sent again. Values
+    /// By the digest of an echo value, those that may be sent again. Values
     /// with the same digest only cost a connection.
-    std::unordered_map<std::uint64_t, time_point> sent_values_;
+    std::unordered_map<std::uint64_t, sent_value> sent_values_;
     std::string scratch_ = std::string(read_bytes, '\0');
     std::size_t total_buffered_bytes_{};
     http_response response_;
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -267,6 +267,28 @@
                "served");
 }
 
+// A target may hold few connections; each one beyond is reset.
+BOOST_AUTO_TEST_CASE(
+    opens_no_connection_for_a_resent_request_that_may_share_one) {
+    reactor loop;
+    raw_server target(loop, [](const raw_request& it) {
+        const auto id = find_header(it.request.headers, "Id");
+        return raw_reply{response_to(id, std::to_string(it.connection))};
+    });
+    stream_client client(loop, options_for_port(target.port()));
+    const auto send = [&](const std::string& id, bool may_share) {
+        auto call = call_with_id(id);
+        call.may_share_connection = may_share;
+        return run_call(loop, client, std::move(call)).response.body;
+    };
+    BOOST_TEST(send("1", true) == "0");
+    BOOST_TEST(send("1", true) == "1");
+    BOOST_TEST(send("2", true) == "1");
+    BOOST_TEST(send("2", true) == "0");
+    BOOST_TEST(target.connections() == 2U);
+    BOOST_TEST(send("2", false) == "2");
+}
+
 // Each response carries the number of the sending that it belongs to; copies
 // of any earlier response of a connection may precede the next one on it.
 BOOST_AUTO_TEST_CASE(gives_each_sending_its_own_response_whatever_comes_late) {
@@ -288,8 +310,9 @@
             *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
         for (const auto id : ids) {
             const auto sent = arrivals;
-            const auto result =
-                run_call(loop, client, call_with_id(std::to_string(id)));
+            auto call = call_with_id(std::to_string(id));
+            call.may_share_connection = *rc::gen::arbitrary<bool>();
+            const auto result = run_call(loop, client, std::move(call));
             RC_ASSERT(result.response.body == std::to_string(sent + 1));
         }
     });
--- a/source/node/src/target_client.cpp
+++ b/source/node/src/target_client.cpp
@@ -68,6 +68,7 @@
     out.echo_header = id_header;
     out.echo_value = call.id;
     out.echo_lifetime = call.time_left + most_transit_time;
+    out.may_share_connection = call.is_idempotent;
     out.max_idle = call.is_idempotent ? most_idle_repeatable : most_idle_once;
     return out;
 }
