io: the check of every part of a response stands once

The loops over the parts of a response stood in two tests; for_each_part() in raw_server.hpp holds them now.

--- a/source/io/test/http_client_test.cpp
+++ b/source/io/test/http_client_test.cpp
@@ -32,18 +32,12 @@
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
           "4\r\nbody\r\n0\r\n",
           "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"})
-        for (const auto end :
-             {raw_reply::ending::closes, raw_reply::ending::resets})
-            for (std::size_t n = 0; n < whole.size(); ++n) {
-                reactor loop;
-                raw_server target(loop, [&](const raw_request&) {
-                    return raw_reply{whole.substr(0, n), end};
-                });
-                http_client client(loop, 8);
-                const auto result = call(loop, client, target.port());
-                BOOST_TEST((result.failure != http_failure::none),
-                           n << " bytes of " << whole);
-            }
+        for_each_part(whole, [](reactor& loop, std::uint16_t port,
+                                const std::string& part) {
+            http_client client(loop, 8);
+            const auto result = call(loop, client, port);
+            BOOST_TEST((result.failure != http_failure::none), part);
+        });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/source/io/test/raw_server.hpp
+++ b/source/io/test/raw_server.hpp
@@ -120,4 +120,22 @@
     std::map<std::size_t, peer> peers_;
 };
 
+/// Calls the check with a server for each proper part of the response, which
+/// ends by a close and by a reset.
+inline void
+for_each_part(const std::string& whole,
+              const std::function<void(reactor&, std::uint16_t port,
+                                       const std::string& part)>& check) {
+    for (const auto end :
+         {raw_reply::ending::closes, raw_reply::ending::resets})
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            const auto part = whole.substr(0, n);
+            reactor loop;
+            const raw_server server(loop, [&](const raw_request&) {
+                return raw_reply{part, end};
+            });
+            check(loop, server.port(), part);
+        }
+}
+
 } // namespace redwingwind::io::test
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -415,18 +415,12 @@
         "4\r\nbody\r\n0\r\n\r\n";
     const std::string without_length = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n";
     for (const auto& whole : {with_length, in_chunks, without_length})
-        for (const auto end :
-             {raw_reply::ending::closes, raw_reply::ending::resets})
-            for (std::size_t n = 0; n < whole.size(); ++n) {
-                reactor loop;
-                raw_server target(loop, [&](const raw_request&) {
-                    return raw_reply{whole.substr(0, n), end};
-                });
-                stream_client client(loop, options_for_port(target.port()));
-                const auto result = run_call(loop, client, call_with_id("1"));
-                BOOST_TEST((result.failure == stream_failure::cut_off),
-                           whole.substr(0, n));
-            }
+        for_each_part(whole, [](reactor& loop, std::uint16_t port,
+                                const std::string& part) {
+            stream_client client(loop, options_for_port(port));
+            const auto result = run_call(loop, client, call_with_id("1"));
+            BOOST_TEST((result.failure == stream_failure::cut_off), part);
+        });
 }
 
 // A target could otherwise report behind a body that it did not run the call.
