relay: a departure is the last word of an incarnation

Cause: the dispatcher kept one heartbeat and a state. A departure changed the state alone, so the next heartbeat with a higher sequence number made the target ready again, also one sent before the departure that arrived late. A departure has no sequence number that could tell.

Change: target_statements orders what arrives about the targets at one address, without I/O. A denial counts only for the incarnation that the call was sent to. A departure of an instance that was not heard covers all its lives that started before. Logs: target_left, heartbeat_ignored.

--- /dev/null
+++ b/source/integration/test/departure_test.cpp
@@ -0,0 +1,80 @@
+#include "platform_places.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace redwingwind;
+using namespace redwingwind::integration;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A node of service "front", and two of service "back", of which the target
+/// beside the first leaves.
+struct leaving_target {
+    static constexpr std::size_t leaving = 1;
+
+    leaving_target() : places(http, {"front", "back", "back"}) {
+        for (std::size_t n = 0; n < places.size(); ++n)
+            places.at(n).started_ms = wall_microseconds() / 1000;
+        places.configure(1);
+        BOOST_REQUIRE(places.wait_served());
+    }
+
+    /// Sends orders for a second; those that the leaving target ran.
+    std::size_t orders_run() {
+        const auto before = places.at(leaving).target->runs();
+        for (int n = 0; n < 20; ++n) {
+            const auto id = "r" + std::to_string(sent_++);
+            const auto at = n % 2 == 0 ? std::size_t{0} : leaving;
+            BOOST_TEST(places.send(at, "/back/", id).response.status == 200);
+            http.sleep(50ms);
+        }
+        return places.at(leaving).target->runs() - before;
+    }
+
+    http_caller http;
+    platform_deployment places;
+
+  private:
+    int sent_{};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(on_the_platform)
+
+BOOST_FIXTURE_TEST_SUITE(a_target_that_left, leaving_target)
+
+// Guards against a heartbeat of before the departure that brings it back.
+BOOST_AUTO_TEST_CASE(is_not_used_again_for_a_late_heartbeat) {
+    BOOST_TEST(orders_run() > 0U);
+    BOOST_TEST(places.leave(leaving).status == 200);
+    BOOST_TEST(places.beat(leaving).status == 200);
+    BOOST_TEST(orders_run() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_again_while_the_store_is_away) {
+    places.store_faults(R"({"refuse":true})");
+    BOOST_TEST(places.leave(leaving).status == 200);
+    BOOST_TEST(places.beat(leaving).status == 200);
+    BOOST_TEST(orders_run() == 0U);
+}
+
+// Guards against a departure that shuts out what follows at its address.
+BOOST_AUTO_TEST_CASE(makes_room_for_a_new_life_at_once) {
+    BOOST_TEST(places.leave(leaving).status == 200);
+    ++places.at(leaving).started_ms;
+    places.at(leaving).sequence = 0;
+    BOOST_TEST(places.beat(leaving).status == 200);
+    BOOST_TEST(orders_run() > 0U);
+    BOOST_TEST(places.leave(leaving).status == 200);
+    places.at(leaving).instance = "i-next";
+    ++places.at(leaving).started_ms;
+    places.at(leaving).sequence = 0;
+    BOOST_TEST(places.beat(leaving).status == 200);
+    BOOST_TEST(orders_run() > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -182,11 +182,13 @@
                                         const std::string& state) {
     constexpr std::uint32_t slots = 8;
     auto& it = at(n);
-    const nlohmann::json said{
+    nlohmann::json said{
         {"service", it.service}, {"address", local(it.target_port)},
         {"zone", it.domain},     {"version", "v1"},
         {"slots", slots},        {"state", state},
         {"cold_remaining_s", 0}, {"sequence", ++it.sequence}};
+    if (it.started_ms != 0)
+        said["born"] = it.started_ms;
     io::http_call call;
     call.method = "PUT";
     call.url = "http://" + local(it.announce) + "/instances/" + it.instance;
@@ -194,6 +196,14 @@
     return http_.call(call).response;
 }
 
+http_response platform_deployment::leave(std::size_t n) {
+    auto& it = at(n);
+    io::http_call call;
+    call.method = "DELETE";
+    call.url = "http://" + local(it.announce) + "/instances/" + it.instance;
+    return http_.call(call).response;
+}
+
 bool platform_deployment::is_ready(std::size_t n) {
     io::http_call call;
     call.url = "http://" + local(at(n).readiness) + "/readiness";
--- a/source/integration/test/platform_places.hpp
+++ b/source/integration/test/platform_places.hpp
@@ -70,6 +70,8 @@
     std::uint16_t metrics{};
     std::uint16_t peer{};
     std::uint64_t sequence{};
+    /// Start of the target's life, in milliseconds since 1970; left out when 0.
+    std::uint64_t started_ms{};
     std::unique_ptr<test_target> target;
     /// Where the node sends the target's calls; a test that sets another port
     /// starts the node anew.
@@ -98,6 +100,8 @@
     void configure(std::uint64_t version,
                    const std::map<std::string, std::string>& moved = {});
     http_response beat(std::size_t n, const std::string& state = "ready");
+    /// The target beside the node announces its departure.
+    http_response leave(std::size_t n);
     bool is_ready(std::size_t n);
     bool wait_ready();
     /// Waits until each node is ready and knows all targets.
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -30,6 +30,7 @@
 /// A node that knows no other is ready after this all the same: it may be
 /// the only one.
 constexpr duration alone_after = std::chrono::seconds(2);
+constexpr std::uint64_t us_per_ms = 1000;
 /// How often a node writes the state that its decisions come from.
 constexpr duration state_interval = std::chrono::seconds(5);
 http_response plain(int status) {
@@ -273,7 +274,10 @@
         return plain(status_not_found);
     const auto now = steady_now();
     if (request.method == "DELETE") {
-        target_dispatcher_->withdraw_target(now, instance);
+        target_dispatcher_->withdraw_target(now, instance,
+                                            wall_microseconds() / us_per_ms);
+        log_event(log_channel::node, log_level::info, "target_left",
+                  {{"instance", instance}});
         return plain(status_ok);
     }
     const auto said =
@@ -285,7 +289,12 @@
         return plain(status_bad_request);
     }
     const auto before = target_dispatcher_->instance();
-    target_dispatcher_->announce(now, *said);
+    if (!target_dispatcher_->announce(now, *said))
+        log_event(log_channel::node, log_level::info, "heartbeat_ignored",
+                  {{"instance", instance},
+                   {"sequence", said->sequence},
+                   {"started_ms", said->started_ms},
+                   {"current", before}});
     if (target_dispatcher_->instance() != before) {
         target_->close_idle();
         log_event(log_channel::node, log_level::info, "target_started",
--- a/source/relay/include/redwingwind/relay/target_dispatcher.hpp
+++ b/source/relay/include/redwingwind/relay/target_dispatcher.hpp
@@ -4,6 +4,7 @@
 #include <redwingwind/overload/target_gate.hpp>
 #include <redwingwind/relay/call.hpp>
 #include <redwingwind/relay/nested_route_detector.hpp>
+#include <redwingwind/relay/target_statements.hpp>
 
 #include <functional>
 #include <map>
@@ -12,23 +13,6 @@
 
 namespace redwingwind::relay {
 
-/// A target's heartbeat.
-struct target_announcement {
-    std::string instance;
-    service_name service;
-    /// Where it listens, "IP:PORT".
-    std::string address;
-    std::uint32_t slots{};
-    bool is_draining{};
-    /// When the target's process started, in milliseconds since 1970; tells
-    /// its incarnations apart.
-    std::uint64_t started_ms{};
-    /// Rises with each heartbeat of one incarnation.
-    std::uint64_t sequence{};
-
-    auto operator<=>(const target_announcement&) const = default;
-};
-
 struct target_dispatcher_options {
     service_name service;
     /// A target without a heartbeat for this long is considered absent.
@@ -72,10 +56,13 @@
 
     target_dispatcher(target_dispatcher_options options, hooks h);
 
-    /// Takes a heartbeat; one older than the latest is ignored.
-    void announce(time_point now, const target_announcement& announcement);
-    /// The target announced its shutdown; it gets no new calls from now on.
-    void withdraw_target(time_point now, const std::string& instance);
+    /// Takes a heartbeat; returns false for one that is ignored, as a later
+    /// statement is known.
+    bool announce(time_point now, const target_announcement& announcement);
+    /// The target announced its departure; its incarnation gets no new calls
+    /// from now on. wall_ms is the time in milliseconds since 1970.
+    void withdraw_target(time_point now, const std::string& instance,
+                         std::uint64_t wall_ms);
     /// Begins the stop of this node: no new calls are admitted.
     void stop();
 
@@ -94,7 +81,9 @@
     time_point next_due() const;
 
     /// The instance of the current target; empty when there is none.
-    const std::string& instance() const { return target_.instance; }
+    const std::string& instance() const {
+        return statements_.current().instance;
+    }
     coordination::target_state state() const { return state_; }
     overload::load_report load() const { return gate_.load(); }
     /// Expected share of the current executions that are retried ones, 0 to 1.
@@ -119,11 +108,15 @@
         time_point started;
         bool is_executing{};
         bool is_nested{};
+        /// Number of the incarnation that the execution was started at.
+        std::uint64_t incarnation{};
         /// The caller does not wait for the reply any more.
         bool is_abandoned{};
     };
 
     void set_state(coordination::target_state state);
+    /// Sets the state that follows from the statements about the target.
+    void update_state(time_point now);
     void apply(time_point now, const overload::gate_actions& actions);
     void start(time_point now, std::uint64_t execution);
     void reject(time_point now, std::uint64_t execution, error_code error,
@@ -140,9 +133,8 @@
     hooks hooks_;
     overload::target_gate gate_;
     nested_route_detector nested_routes_;
-    target_announcement target_;
+    target_statements statements_;
     coordination::target_state state_{coordination::target_state::absent};
-    time_point last_announced_{};
     time_point next_late_check_{};
     bool is_stopping_{};
     std::size_t executing_{};
--- a/source/relay/src/target_dispatcher.cpp
+++ b/source/relay/src/target_dispatcher.cpp
@@ -23,47 +23,50 @@
 } // namespace
 
 target_dispatcher::target_dispatcher(target_dispatcher_options options, hooks h)
-    : options_(std::move(options)), hooks_(std::move(h)), gate_(options_.gate) {
-}
+    : options_(std::move(options)), hooks_(std::move(h)), gate_(options_.gate),
+      statements_(options_.announce_timeout) {}
 
 void target_dispatcher::set_state(target_state state) {
+    if (state == target_state::ready && is_stopping_)
+        state = target_state::draining;
     state_ = state;
-    hooks_.on_target_state(state, target_.slots);
+    hooks_.on_target_state(state, statements_.current().slots);
 }
 
-void target_dispatcher::announce(time_point now,
-                                 const target_announcement& announcement) {
-    if (announcement.service != options_.service)
-        return;
-    const bool is_older = announcement.started_ms < target_.started_ms ||
-                          (announcement.started_ms == target_.started_ms &&
-                           announcement.instance == target_.instance &&
-                           announcement.sequence <= target_.sequence &&
-                           !target_.instance.empty());
-    if (is_older)
+void target_dispatcher::update_state(time_point now) {
+    if (!statements_.is_present(now))
         return;
-    target_ = announcement;
-    last_announced_ = now;
-    gate_.set_slots(announcement.slots);
-    const auto state =
-        announcement.is_draining ? target_state::draining : target_state::ready;
-    if (state == target_state::draining)
+    const auto& target = statements_.current();
+    gate_.set_slots(target.slots);
+    if (target.is_draining) {
         apply(now, gate_.close(error_code::draining));
-    set_state(is_stopping_ ? target_state::draining : state);
+        set_state(target_state::draining);
+        return;
+    }
+    set_state(target_state::ready);
+}
+
+bool target_dispatcher::announce(time_point now,
+                                 const target_announcement& announcement) {
+    if (announcement.service != options_.service ||
+        !statements_.announce(now, announcement))
+        return false;
+    update_state(now);
+    return true;
 }
 
 void target_dispatcher::withdraw_target(time_point now,
-                                        const std::string& instance) {
-    if (instance != target_.instance)
+                                        const std::string& instance,
+                                        std::uint64_t wall_ms) {
+    if (!statements_.depart(now, instance, wall_ms))
         return;
-    target_.is_draining = true;
     apply(now, gate_.close(error_code::draining));
     set_state(target_state::draining);
 }
 
 void target_dispatcher::stop() {
     is_stopping_ = true;
-    set_state(target_state::draining);
+    set_state(state_);
 }
 
 relay_reply_frame target_dispatcher::make_reply(const open_call& it,
@@ -147,6 +150,7 @@
 void target_dispatcher::start(time_point now, std::uint64_t execution) {
     auto& it = open_.at(execution);
     it.is_executing = true;
+    it.incarnation = statements_.incarnations();
     ++executing_;
     expected_retried_ += it.call.retry_probability;
     it.started = now;
@@ -235,8 +239,11 @@
     const auto it = take(found);
     hooks_.on_execution_end(now, it.call.route, now - it.started);
     const auto actions = gate_.finish(now, execution, now - it.started);
-    if (result.is_unreachable ||
-        result.outcome == target_outcome::other_instance) {
+    const bool is_denied = result.outcome == target_outcome::other_instance &&
+                           it.incarnation == statements_.incarnations();
+    if (is_denied)
+        statements_.deny(now);
+    if (result.is_unreachable || is_denied) {
         // Closed until the next heartbeat tells which instance is there.
         apply(now, gate_.close(error_code::no_target));
         if (state_ == target_state::ready)
@@ -287,8 +294,7 @@
 
 void target_dispatcher::tick(time_point now) {
     apply(now, gate_.expire(now));
-    if (state_ == target_state::ready &&
-        now - last_announced_ > options_.announce_timeout) {
+    if (state_ == target_state::ready && !statements_.is_present(now)) {
         apply(now, gate_.close(error_code::no_target));
         set_state(target_state::absent);
     }
@@ -308,7 +314,7 @@
 time_point target_dispatcher::next_due() const {
     auto next = gate_.next_expiry();
     if (state_ == target_state::ready)
-        next = std::min(next, last_announced_ + options_.announce_timeout);
+        next = std::min(next, statements_.present_until());
     if (!open_.empty())
         next = std::min(next, next_late_check_);
     return next;
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 const time_point start{std::chrono::seconds(100)};
+constexpr std::uint64_t wall_ms = 5000;
 
 route make_route(const std::string& name, const std::string& prefix,
                  bool is_idempotent) {
@@ -508,7 +509,7 @@
     dispatcher_fixture node;
     node.receive_call(1);
     node.receive_call(2);
-    node.it.withdraw_target(start, "i-1");
+    node.it.withdraw_target(start, "i-1", wall_ms);
     BOOST_TEST((node.state == target_state::draining));
     BOOST_REQUIRE(node.replies.size() == 1U);
     BOOST_TEST((node.replies[0].what == outcome::not_run));
@@ -535,7 +536,40 @@
     BOOST_TEST(node.it.instance() == "i-2");
     BOOST_TEST((node.state == target_state::ready));
     // A withdrawal by the earlier incarnation is ignored too.
-    node.it.withdraw_target(start, "i-1");
+    node.it.withdraw_target(start, "i-1", wall_ms);
+    BOOST_TEST((node.state == target_state::ready));
+}
+
+// Guards against a heartbeat of before the departure that opens the gate again.
+BOOST_AUTO_TEST_CASE(ignores_a_late_heartbeat_of_a_target_that_left) {
+    dispatcher_fixture node;
+    node.it.withdraw_target(start, "i-1", wall_ms);
+    target_announcement late;
+    late.instance = "i-1";
+    late.service = {"orders"};
+    late.slots = 1;
+    late.started_ms = 1000;
+    late.sequence = 2;
+    BOOST_TEST(!node.it.announce(start + ms(2000), late));
+    BOOST_TEST((node.state == target_state::draining));
+    node.receive_call(1, false);
+    BOOST_TEST(node.dispatched.empty());
+    BOOST_TEST((node.replies.at(0).what == outcome::not_run));
+}
+
+// Guards against a denial of an earlier incarnation that closes the gate.
+BOOST_AUTO_TEST_CASE(keeps_a_new_target_when_the_one_before_is_denied) {
+    dispatcher_fixture node;
+    node.receive_call(1);
+    target_announcement newer;
+    newer.instance = "i-2";
+    newer.service = {"orders"};
+    newer.slots = 1;
+    newer.started_ms = 2000;
+    newer.sequence = 1;
+    node.it.announce(start, newer);
+    node.it.on_target_result(start, node.dispatched.back().execution,
+                             {target_outcome::other_instance, {}, false});
     BOOST_TEST((node.state == target_state::ready));
 }
 
