node: a departure outlives the process that acknowledged it

Cause: what a target said was in the memory of one process only. Its record, which the other nodes hold, told "draining" both for a target that leaves and for a node that stops.

Change: a node that stops beside a target that goes on is "stopping" in its record; "draining" is the target's own word, and stays when the node leaves. A node that has no target yet is told by those it probes of an earlier life at its address whose target was draining. It uses its target 0.3 s after it met others, or 2 s after it got a configuration if there are none; if an earlier life was told of a departure, a target that started before this node is used once a second heartbeat follows the first by half of their interval: late ones end soon, and those of a new life go on. That doubt ends 30 s after the start of the node. No message grew; nodes of before read the new state as not ready.

Not covered: all nodes that knew are gone, too, when the late heartbeat comes.

--- a/source/coordination/include/redwingwind/coordination/member.hpp
+++ b/source/coordination/include/redwingwind/coordination/member.hpp
@@ -27,7 +27,9 @@
 address parse_address(const std::string& text);
 
 enum class member_state : std::uint8_t { alive, suspect, dead, left };
-enum class target_state : std::uint8_t { absent, ready, draining };
+/// Draining is what the target announced itself; while its node alone stops, it
+/// is stopping.
+enum class target_state : std::uint8_t { absent, ready, draining, stopping };
 
 std::string to_string(member_state state);
 std::string to_string(target_state state);
--- a/source/coordination/include/redwingwind/coordination/membership.hpp
+++ b/source/coordination/include/redwingwind/coordination/membership.hpp
@@ -92,6 +92,9 @@
 
     const member_record& self() const { return self_; }
     const member_record* find(const node_name& name) const;
+    /// Another life of the node, at the same address, whose target announced
+    /// its departure; nullptr when none is known.
+    const member_record* find_departure(const member_record& node) const;
     /// All known records: dead and left nodes included, this node excluded.
     std::vector<member_record> all() const;
     /// Alive and suspected nodes of a failure domain, including this node.
--- a/source/coordination/src/member.cpp
+++ b/source/coordination/src/member.cpp
@@ -52,9 +52,11 @@
     case target_state::ready:
         return "ready";
     case target_state::draining:
+        return "draining";
+    case target_state::stopping:
         break;
     }
-    return "draining";
+    return "stopping";
 }
 
 bool supersedes(const member_record& a, const member_record& b) {
--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -75,6 +75,18 @@
     return names;
 }
 
+const member_record*
+membership::find_departure(const member_record& node) const {
+    const auto it =
+        std::find_if(entries_.begin(), entries_.end(), [&](const auto& known) {
+            const auto& record = known.second.record;
+            return record.endpoint == node.endpoint &&
+                   record.id.name != node.id.name &&
+                   record.target == target_state::draining;
+        });
+    return it == entries_.end() ? nullptr : &it->second.record;
+}
+
 std::uint64_t membership::view_digest() const {
     return digest_;
 }
@@ -219,7 +231,8 @@
 
 void membership::leave(time_point now) {
     self_.state = member_state::left;
-    self_.target = target_state::draining;
+    if (self_.target == target_state::ready)
+        self_.target = target_state::stopping;
     ++self_.version;
     // Nothing is sent after leaving, so several rounds of gossip are sent now.
     pending_records_[self_.id.name] = {
@@ -342,6 +355,10 @@
     const auto* known = find(message.sender.id.name);
     if (known != nullptr && is_gone(known->state))
         reply.members.push_back(*known);
+    // A node that has no target yet may have been restarted.
+    if (message.sender.target == target_state::absent)
+        if (const auto* left = find_departure(message.sender))
+            reply.members.push_back(*left);
     hooks_.send(from, reply);
 }
 
--- a/source/coordination/test/membership_test.cpp
+++ b/source/coordination/test/membership_test.cpp
@@ -38,11 +38,12 @@
         std::vector<std::function<void()>> queued;
     };
 
-    void add(int n, std::uint64_t life = 1) {
+    /// With a suffix, each life of the node has a name of its own.
+    void add(int n, std::uint64_t life = 1, const std::string& suffix = {}) {
         auto& it = nodes_[n];
         it = node{};
         member_record self;
-        self.id = {{"n" + std::to_string(n)}, {life}};
+        self.id = {{"n" + std::to_string(n) + suffix}, {life}};
         self.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + n)};
         self.region = {"r" + std::to_string(n % 2)};
         self.domain = {"d" + std::to_string(n % 4)};
@@ -288,6 +289,28 @@
     }
 }
 
+// Guards against a departure that a restarted node does not learn of.
+BOOST_AUTO_TEST_CASE(tell_a_new_life_that_the_target_of_an_earlier_one_left) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        fake_network network(seed, 10);
+        network.run(8s);
+        auto& members = *network.nodes_[4].members;
+        members.set_target(network.now_, {"orders"}, 8, target_state::ready);
+        members.set_target(network.now_, {"orders"}, 8, target_state::draining);
+        network.run(200ms);
+        network.nodes_[4].is_up = false;
+        // Before and after the others took it for dead.
+        network.run(seed % 2 == 0 ? 300ms : 20s);
+        network.add(4, 1, "-later");
+        network.run(1500ms);
+        const auto& later = *network.nodes_[4].members;
+        BOOST_TEST_INFO("seed " << seed);
+        BOOST_TEST(later.find_departure(later.self()) != nullptr);
+        const auto& other = *network.nodes_[5].members;
+        BOOST_TEST(other.find_departure(other.self()) == nullptr);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejoin_after_a_long_network_partition) {
     fake_network network(6, 10);
     network.run(8s);
--- a/source/integration/test/departure_test.cpp
+++ b/source/integration/test/departure_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+
 using namespace redwingwind;
 using namespace redwingwind::integration;
 using namespace std::chrono_literals;
@@ -32,6 +34,13 @@
         return places.at(leaving).target->runs() - before;
     }
 
+    void restart_node() {
+        places.at(leaving).node->signal(SIGKILL);
+        places.at(leaving).node->wait(5s);
+        places.start_node(leaving);
+        BOOST_REQUIRE(places.wait_ready());
+    }
+
     http_caller http;
     platform_deployment places;
 
@@ -60,6 +69,49 @@
     BOOST_TEST(orders_run() == 0U);
 }
 
+// Guards against a restart that forgets the departure.
+BOOST_AUTO_TEST_CASE(is_not_used_again_after_a_restart_of_its_node) {
+    BOOST_TEST(places.leave(leaving).status == 200);
+    restart_node();
+    BOOST_TEST(places.beat(leaving).status == 200);
+    BOOST_TEST(orders_run() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_again_after_a_restart_without_the_store) {
+    BOOST_TEST(places.leave(leaving).status == 200);
+    places.at(leaving).node->signal(SIGKILL);
+    places.at(leaving).node->wait(5s);
+    places.store_faults(R"({"refuse":true})");
+    places.start_node(leaving);
+    http.sleep(500ms);
+    BOOST_TEST(places.beat(leaving).status == 200);
+    // Longer than a node waits for others.
+    http.sleep(3s);
+    places.store_faults(R"({"refuse":false})");
+    BOOST_REQUIRE(places.wait_ready());
+    http.sleep(500ms);
+    BOOST_TEST(orders_run() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(that_said_draining_is_not_used_again_after_a_restart) {
+    BOOST_TEST(places.beat(leaving, "draining").status == 200);
+    restart_node();
+    places.at(leaving).sequence -= 2;
+    BOOST_TEST(places.beat(leaving).status == 200);
+    BOOST_TEST(orders_run() == 0U);
+}
+
+// Guards against a doubt that shuts out a target that started since.
+BOOST_AUTO_TEST_CASE(makes_room_for_a_new_life_after_a_restart) {
+    BOOST_TEST(places.leave(leaving).status == 200);
+    restart_node();
+    places.at(leaving).started_ms = wall_microseconds() / 1000;
+    places.at(leaving).sequence = 0;
+    BOOST_TEST(places.beat(leaving).status == 200);
+    http.sleep(500ms);
+    BOOST_TEST(orders_run() > 0U);
+}
+
 // Guards against a departure that shuts out what follows at its address.
 BOOST_AUTO_TEST_CASE(makes_room_for_a_new_life_at_once) {
     BOOST_TEST(places.leave(leaving).status == 200);
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -30,6 +30,8 @@
 /// A node that knows no other is ready after this all the same: it may be
 /// the only one.
 constexpr duration alone_after = std::chrono::seconds(2);
+/// For what other nodes know of an earlier life of this one, once one is met.
+constexpr duration history_wait = std::chrono::milliseconds(300);
 constexpr std::uint64_t us_per_ms = 1000;
 /// How often a node writes the state that its decisions come from.
 constexpr duration state_interval = std::chrono::seconds(5);
@@ -47,7 +49,8 @@
 relay_daemon::relay_daemon(relay_settings settings)
     : settings_(std::move(settings)), random_(make_random(random_seed())),
       log_(settings_.self.id.name), stop_(settings_.stop_time),
-      started_(steady_now()) {
+      started_(steady_now()),
+      started_wall_ms_(wall_microseconds() / us_per_ms) {
     store_client_ =
         std::make_unique<io::http_client>(loop_, store_idle_connections);
     members_ = std::make_unique<coordination::membership>(
@@ -233,6 +236,11 @@
     const auto& name = record.id.name;
     call_router_->set_live_nodes(members_ ? members_->live_count() + 1 : 1);
     const bool is_here = !coordination::is_gone(record.state);
+    if (is_here && !std::exchange(has_met_others_, true))
+        loop_.after(history_wait, [this] { release_target(); });
+    if (record.endpoint == settings_.self.endpoint &&
+        record.target == target_state::draining)
+        on_earlier_departure(record);
     if (is_here) {
         // Another life has the address now, whose name was not heard before.
         auto& at = name_at_[record.endpoint];
@@ -252,6 +260,19 @@
     // count as dead because datagrams were lost, or because it is slow.
 }
 
+void relay_daemon::on_earlier_departure(const member_record& earlier) {
+    log_event(log_channel::node, log_level::info, "target_in_doubt",
+              {{"earlier_life", earlier.id.name.value}});
+    target_dispatcher_->doubt(steady_now(),
+                              started_ + relay::target_statements::max_delay,
+                              started_wall_ms_);
+}
+
+void relay_daemon::release_target() {
+    target_dispatcher_->release(steady_now());
+    wake();
+}
+
 void relay_daemon::on_target(target_state state, std::uint32_t slots) {
     const auto& self = settings_.self;
     members_->set_target(steady_now(), self.service, slots, state);
@@ -335,6 +356,9 @@
     log_event(
         log_channel::configuration, log_level::info, "in_force",
         {{"version", policy->version}, {"routes", policy->routes.size()}});
+    // Whoever gave it could have told of others, unless there are none.
+    if (policy_since_ == time_point{})
+        loop_.after(alone_after, [this] { release_target(); });
     policy_since_ = steady_now();
     call_router_->set_policy(
         std::make_shared<const relay::traffic_policy>(*std::move(policy)));
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -72,6 +72,10 @@
     void receive(const node_incarnation&, const Other&) {}
 
     void on_member(const coordination::member_record& record);
+    /// An earlier life of this node was told that its target departs.
+    void on_earlier_departure(const coordination::member_record& earlier);
+    /// The target is used from now on.
+    void release_target();
     void on_target(coordination::target_state state, std::uint32_t slots);
     /// True when it is newer than the one in force.
     bool offer_config(const std::string& text);
@@ -108,10 +112,13 @@
     std::unique_ptr<io::stream_server> metrics_server_;
     std::unordered_map<std::uint64_t, io::stream_client::call_id> at_target_;
     std::map<coordination::address, node_name> name_at_;
+    bool has_met_others_{};
     io::reactor::timer_id timer_{};
     time_point timer_due_{};
     planned_stop stop_;
     time_point started_;
+    /// The same in milliseconds since 1970.
+    std::uint64_t started_wall_ms_;
     time_point policy_since_{};
     std::unique_ptr<settings_file> file_;
 };
--- a/source/relay/include/redwingwind/relay/target_dispatcher.hpp
+++ b/source/relay/include/redwingwind/relay/target_dispatcher.hpp
@@ -18,6 +18,11 @@
     /// A target without a heartbeat for this long is considered absent.
     duration announce_timeout{std::chrono::seconds(6)};
     overload::gate_options gate;
+    /// The target is not used before release().
+    bool waits_for_release{};
+    /// A target in doubt is used once a heartbeat follows its first one by this
+    /// or more: late heartbeats end soon.
+    duration confirmation_interval{std::chrono::seconds(1)};
     /// Time past a call's deadline in which the target may still respond.
     duration answer_grace{std::chrono::milliseconds(100)};
 };
@@ -63,6 +68,12 @@
     /// from now on. wall_ms is the time in milliseconds since 1970.
     void withdraw_target(time_point now, const std::string& instance,
                          std::uint64_t wall_ms);
+    /// Ends the wait for what other nodes know of an earlier life of this one.
+    void release(time_point now);
+    /// An earlier life of this node was told that its target departs, so a
+    /// heartbeat may be older than that. Until then, targets that started
+    /// before wall_ms, in milliseconds since 1970, are used once confirmed.
+    void doubt(time_point now, time_point until, std::uint64_t wall_ms);
     /// Begins the stop of this node: no new calls are admitted.
     void stop();
 
@@ -117,6 +128,7 @@
     void set_state(coordination::target_state state);
     /// Sets the state that follows from the statements about the target.
     void update_state(time_point now);
+    bool is_in_doubt(time_point now) const;
     void apply(time_point now, const overload::gate_actions& actions);
     void start(time_point now, std::uint64_t execution);
     void reject(time_point now, std::uint64_t execution, error_code error,
@@ -135,6 +147,9 @@
     nested_route_detector nested_routes_;
     target_statements statements_;
     coordination::target_state state_{coordination::target_state::absent};
+    bool is_released_{};
+    time_point in_doubt_until_{};
+    std::uint64_t in_doubt_wall_ms_{};
     time_point next_late_check_{};
     bool is_stopping_{};
     std::size_t executing_{};
--- a/source/relay/src/target_dispatcher.cpp
+++ b/source/relay/src/target_dispatcher.cpp
@@ -24,11 +24,12 @@
 
 target_dispatcher::target_dispatcher(target_dispatcher_options options, hooks h)
     : options_(std::move(options)), hooks_(std::move(h)), gate_(options_.gate),
-      statements_(options_.announce_timeout) {}
+      statements_(options_.announce_timeout),
+      is_released_(!options_.waits_for_release) {}
 
 void target_dispatcher::set_state(target_state state) {
     if (state == target_state::ready && is_stopping_)
-        state = target_state::draining;
+        state = target_state::stopping;
     state_ = state;
     hooks_.on_target_state(state, statements_.current().slots);
 }
@@ -43,7 +44,8 @@
         set_state(target_state::draining);
         return;
     }
-    set_state(target_state::ready);
+    if (is_released_ && !is_in_doubt(now))
+        set_state(target_state::ready);
 }
 
 bool target_dispatcher::announce(time_point now,
@@ -64,6 +66,29 @@
     set_state(target_state::draining);
 }
 
+bool target_dispatcher::is_in_doubt(time_point now) const {
+    return now < in_doubt_until_ &&
+           statements_.current().started_ms < in_doubt_wall_ms_ &&
+           statements_.announced_for() < options_.confirmation_interval;
+}
+
+void target_dispatcher::release(time_point now) {
+    if (is_released_)
+        return;
+    is_released_ = true;
+    update_state(now);
+}
+
+void target_dispatcher::doubt(time_point now, time_point until,
+                              std::uint64_t wall_ms) {
+    in_doubt_until_ = until;
+    in_doubt_wall_ms_ = wall_ms;
+    if (state_ != target_state::ready || !is_in_doubt(now))
+        return;
+    apply(now, gate_.close(error_code::no_target));
+    set_state(target_state::absent);
+}
+
 void target_dispatcher::stop() {
     is_stopping_ = true;
     set_state(state_);
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -557,6 +557,56 @@
     BOOST_TEST((node.replies.at(0).what == outcome::not_run));
 }
 
+// Guards against a heartbeat of before the departure that an earlier life of
+// the node was told.
+BOOST_AUTO_TEST_CASE(uses_a_target_in_doubt_once_it_is_confirmed) {
+    target_announcement said;
+    said.instance = "i-2";
+    said.service = {"orders"};
+    said.slots = 1;
+    said.started_ms = 4000;
+    said.sequence = 1;
+    const auto until = start + target_statements::max_delay;
+    for (const bool is_told_late : {false, true}) {
+        dispatcher_fixture node;
+        node.it.announce(start, said);
+        BOOST_TEST((node.state == target_state::ready));
+        node.it.doubt(start, until, said.started_ms + 1);
+        BOOST_TEST((node.state == target_state::absent));
+        auto next = said;
+        next.sequence = 2;
+        // Heartbeats that were held up may arrive together.
+        node.it.announce(start + ms(10), next);
+        BOOST_TEST((node.state == target_state::absent));
+        next.sequence = 3;
+        const auto later = is_told_late ? until : start + ms(1000);
+        node.it.announce(later, next);
+        BOOST_TEST((node.state == target_state::ready));
+    }
+    dispatcher_fixture node;
+    node.it.doubt(start, until, said.started_ms);
+    node.it.announce(start, said);
+    BOOST_TEST((node.state == target_state::ready));
+}
+
+// Guards against a node that uses its target before it asked others.
+BOOST_AUTO_TEST_CASE(uses_its_target_once_released) {
+    dispatcher_fixture node;
+    auto options = dispatcher_fixture::options();
+    options.waits_for_release = true;
+    target_dispatcher waiting(options, node.hooks());
+    node.state = target_state::absent;
+    target_announcement said;
+    said.instance = "i-2";
+    said.service = {"orders"};
+    said.slots = 1;
+    said.sequence = 1;
+    waiting.announce(start, said);
+    BOOST_TEST((node.state == target_state::absent));
+    waiting.release(start + ms(300));
+    BOOST_TEST((node.state == target_state::ready));
+}
+
 // Guards against a denial of an earlier incarnation that closes the gate.
 BOOST_AUTO_TEST_CASE(keeps_a_new_target_when_the_one_before_is_denied) {
     dispatcher_fixture node;
