relay: a stopping node sends no call that it may have to cut

Cause: late in the stop a call was admitted when the route's calls usually end in time. What is usual fell by 1 % with each call, so some hundred short calls hid a long one, and nothing bounds the next call. A call that was refused by a target was also sent again without that look at the time.

Change: a root call is sent late in the stop only if its own deadline (the caller's, at most the route's timeout) is before the end of the stop; otherwise it is told that it was not run, which is true, and its caller goes elsewhere. Nested calls, whose root call would fail, go by the highest latency of the last 30 to 60 s, whatever number of calls came since. The same holds for each further sending.

Tests: admits_only_calls_that_can_finish_before_it_stops held the decision that is wrong (an order of 2 s was let in with 1 s to go, as such orders usually take 40 ms). Two cases replace it, for root and nested calls, with more checks; the case of lets_the_target_finish_admitted_calls_before_it_stops is a nested call now, as a root call is not limited by the stop any more.

--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -58,17 +58,21 @@
         std::atoll(io::find_header(headers, "Request-Deadline").c_str());
     it.request = std::move(arrival.request);
     seen_.push_back(std::move(it));
-    if (manner_ == manner::holds)
+    if (run_)
+        run_(seen_.back(), [this, exchange = arrival.exchange, id](int status) {
+            answer(exchange, id, status);
+        });
+    else if (manner_ == manner::holds)
         held_.push_back({arrival.exchange, id});
     else
         answer(arrival.exchange, id);
 }
 
 void test_target::answer(io::stream_server::exchange_id exchange,
-                         const std::string& id) {
-    server_->respond(
-        exchange,
-        {200, {{"Request-Id", id}, {"Response-Seal", "s"}}, "done " + id});
+                         const std::string& id, int status) {
+    server_->respond(exchange, {status,
+                                {{"Request-Id", id}, {"Response-Seal", "s"}},
+                                "done " + id + std::string(padding_, '.')});
 }
 
 void test_target::release() {
@@ -86,10 +90,11 @@
 // Deployments -----------------------------------------------------------------
 
 platform_deployment::platform_deployment(http_caller& http,
-                                         std::vector<std::string> services)
+                                         std::vector<std::string> services,
+                                         int grace_s)
     : http_(http), store_("stand-in-platform", {}, true),
       store_url_("http://" + local(store_.port())),
-      services_(std::move(services)),
+      services_(std::move(services)), grace_s_(grace_s),
       ports_(ports_per_node * services_.size()) {
     for (std::size_t n = 0; n < services_.size(); ++n) {
         auto place = std::make_unique<platform_place>();
@@ -133,8 +138,9 @@
          << "\n--metrics=" << local(it.metrics)
          << "\n--platform_store=" << local(store_.port())
          << "\n--heartbeat_s=30\n--memory_mb=256\n--descriptors=1024"
-         << "\n--bounds=grace_s=4,retry_budget_ratio=0.2,budget_slack=50,"
-            "budget_window_s=10\n--keys="
+         << "\n--bounds=grace_s=" << grace_s_
+         << ",retry_budget_ratio=0.2,budget_slack=50,budget_window_s=10"
+            "\n--keys="
          << keys << "\n";
     file.close();
     it.node = std::make_unique<process>(
--- a/source/integration/test/platform_places.hpp
+++ b/source/integration/test/platform_places.hpp
@@ -34,10 +34,18 @@
         full
     };
 
+    /// Runs a request and ends it with a status, at once or later.
+    using end_run = std::function<void(int status)>;
+    using run_hook = std::function<void(const seen_request&, end_run)>;
+
     explicit test_target(io::reactor& loop);
 
     std::uint16_t port() const { return server_->port(); }
     void behave(manner how) { manner_ = how; }
+    /// Requests are run by the hook instead.
+    void run_by(run_hook run) { run_ = std::move(run); }
+    /// Bytes that each response has behind its text.
+    void pad(std::size_t bytes) { padding_ = bytes; }
     void release();
     /// Runs of the request with this id.
     std::size_t runs(const std::string& id) const;
@@ -46,7 +54,8 @@
 
   private:
     void on_request(io::stream_server::incoming_request arrival);
-    void answer(io::stream_server::exchange_id exchange, const std::string& id);
+    void answer(io::stream_server::exchange_id exchange, const std::string& id,
+                int status = 200);
 
     struct held_request {
         io::stream_server::exchange_id exchange{};
@@ -54,6 +63,8 @@
     };
 
     manner manner_{manner::answers};
+    run_hook run_;
+    std::size_t padding_{};
     std::vector<seen_request> seen_;
     std::vector<held_request> held_;
     std::unique_ptr<io::stream_server> server_;
@@ -86,7 +97,9 @@
 /// the services given.
 class platform_deployment {
   public:
-    platform_deployment(http_caller& http, std::vector<std::string> services);
+    /// A node that is told to stop may take grace_s.
+    platform_deployment(http_caller& http, std::vector<std::string> services,
+                        int grace_s = 4);
     ~platform_deployment();
     platform_deployment(const platform_deployment&) = delete;
     platform_deployment& operator=(const platform_deployment&) = delete;
@@ -122,6 +135,7 @@
     process store_;
     std::string store_url_;
     std::vector<std::string> services_;
+    int grace_s_;
     port_block ports_;
     std::vector<std::unique_ptr<platform_place>> places_;
 };
--- a/source/relay/include/redwingwind/relay/call_router.hpp
+++ b/source/relay/include/redwingwind/relay/call_router.hpp
@@ -7,6 +7,7 @@
 #include <redwingwind/overload/root_admission.hpp>
 #include <redwingwind/overload/service_retry_budget.hpp>
 #include <redwingwind/relay/call.hpp>
+#include <redwingwind/relay/recent_maximum.hpp>
 #include <redwingwind/relay/route_table.hpp>
 
 #include <cstdint>
@@ -87,8 +88,10 @@
     void add_target(const service_name& service,
                     const overload::candidate& target);
     void remove_target(const node_name& node);
-    /// Begins the stop of this node: only calls that usually finish before
-    /// end are admitted, and their deadlines are no later than end.
+    /// Begins the stop of this node: only calls that finish before end are sent
+    /// to targets, and their deadlines are no later than end. Root calls finish
+    /// by their own deadline; for nested ones the highest latency of recent
+    /// calls counts, as their root call fails when they are rejected.
     void stop_by(time_point end) { stop_time_ = end; }
     /// Gives every open call its result now, since the node is about to exit.
     void finish_all_calls(time_point now);
@@ -156,6 +159,8 @@
         time_point deadline;
         /// A response after this is worth less to the caller.
         time_point latest_useful;
+        /// Objective of the route.
+        duration target_latency{};
         /// Of the frame that carries the call; 0 while it is at no target.
         std::uint64_t sequence{};
         /// Node of the target that has the call.
@@ -201,7 +206,11 @@
     duration root_retry_after(const route& matched) const;
     void give_up(time_point now, open_call& it);
     void finish(time_point now, open_call& it, call_result result);
-    duration slow_latency(const route& matched) const;
+    /// Whether the call ends before this node stops, if it is sent now.
+    bool can_finish(time_point now, const open_call& it) const;
+    duration slow_latency(const open_call& it) const;
+    /// A call was not sent again, as this node stops.
+    void give_up_for_stop(time_point now, open_call& it);
     /// Returns nullptr when no route matches.
     const route* find_route(const std::string& host,
                             const std::string& target) const;
@@ -233,9 +242,8 @@
     std::unordered_map<service_name, overload::failure_meter> failures_;
     /// By route, as reported by the targets' nodes.
     std::unordered_map<std::string, bool> is_nested_;
-    /// By route, the highest latency of recent calls, less 1 % for each call
-    /// since.
-    std::unordered_map<std::string, duration> slow_latencies_;
+    /// Latencies by route.
+    std::unordered_map<std::string, recent_maximum> latencies_;
     time_point stop_time_{time_point::max()};
     std::uint64_t next_sequence_{1};
     std::size_t live_nodes_{1};
--- a/source/relay/src/call_router.cpp
+++ b/source/relay/src/call_router.cpp
@@ -104,10 +104,6 @@
         return;
     }
     const auto& matched = *found;
-    if (stop_time_ - now < slow_latency(matched)) {
-        reject(now, call, error_code::draining, duration::zero());
-        return;
-    }
     const auto exchange = call.exchange;
     open_call it;
     // Time that the call waited, as behind others of its connection, counts.
@@ -116,6 +112,14 @@
     const auto known = is_nested_.find(matched.name);
     it.is_nested = known != is_nested_.end() && known->second;
     it.route = matched.name;
+    const auto time =
+        std::min(call.time_left.value_or(matched.timeout), matched.timeout);
+    it.deadline = it.arrived + time;
+    it.target_latency = matched.target_latency;
+    if (!can_finish(now, it)) {
+        reject(now, call, error_code::draining, duration::zero());
+        return;
+    }
     if (!it.is_nested &&
         !root_admission_.admits(now, matched.name, matched.priority)) {
         reject(now, call, error_code::overloaded, root_retry_after(matched));
@@ -124,12 +128,10 @@
     it.is_idempotent = matched.is_idempotent;
     it.priority = matched.priority;
     it.max_attempts = std::max<std::uint32_t>(matched.max_attempts, 1);
-    const auto time =
-        std::min(call.time_left.value_or(matched.timeout), matched.timeout);
     // The target gets the stop time as the deadline, so that a slow one gives
     // up in time by itself: cancelling the execution would lose its response.
-    const bool is_limited_by_stop = stop_time_ - it.arrived < time;
-    it.deadline = is_limited_by_stop ? stop_time_ : it.arrived + time;
+    const bool is_limited_by_stop = stop_time_ < it.deadline;
+    it.deadline = std::min(it.deadline, stop_time_);
     it.latest_useful = it.arrived + std::min(matched.target_latency, time);
     it.call = std::move(call);
     it.retry_probability = it.is_nested ? hooks_.retried_share() : 0;
@@ -157,12 +159,18 @@
     return matched != nullptr && matched->is_idempotent;
 }
 
-duration call_router::slow_latency(const route& matched) const {
+bool call_router::can_finish(time_point now, const open_call& it) const {
+    if (it.deadline <= stop_time_)
+        return true;
+    return it.is_nested && stop_time_ - now >= slow_latency(it);
+}
+
+duration call_router::slow_latency(const open_call& it) const {
     // After only a few calls, a slow one may not have been seen yet.
-    const auto known = slow_latencies_.find(matched.name);
-    return known == slow_latencies_.end()
-               ? matched.target_latency
-               : std::max(matched.target_latency, known->second);
+    const auto known = latencies_.find(it.route);
+    return known == latencies_.end()
+               ? it.target_latency
+               : std::max(it.target_latency, known->second.value());
 }
 
 call_router::open_call* call_router::find(std::uint64_t sequence) {
@@ -177,6 +185,10 @@
         give_up(now, it);
         return;
     }
+    if (!can_finish(now, it)) {
+        give_up_for_stop(now, it);
+        return;
+    }
     const auto node =
         placement_of(it.service).pick(now, it.tried, hooks_.random);
     if (!node) {
@@ -335,6 +347,10 @@
         give_up(now, it);
         return;
     }
+    if (!can_finish(now, it)) {
+        give_up_for_stop(now, it);
+        return;
+    }
     emit_event(it, now, "repeated", error_code::target_shed);
     // At the limit of targets per call, the last one is tried again.
     std::optional<node_name> other;
@@ -374,6 +390,11 @@
     place(now, it);
 }
 
+void call_router::give_up_for_stop(time_point now, open_call& it) {
+    it.last_error = error_code::draining;
+    give_up(now, it);
+}
+
 void call_router::give_up(time_point now, open_call& it) {
     if (it.failed_response) {
         finish(now, it,
@@ -402,10 +423,8 @@
                                                       : "failed",
                    result.error);
     const auto exchange = it.call.exchange;
-    if (result.outcome == outcome::done) {
-        auto& slow = slow_latencies_[it.route];
-        slow = std::max(now - it.arrived, slow * 99 / 100);
-    }
+    if (result.outcome == outcome::done)
+        latencies_[it.route].add(now, now - it.arrived);
     hooks_.on_finished({it.service, it.priority, result.outcome, result.error,
                         now - it.arrived});
     by_sequence_.erase(it.sequence);
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -319,13 +319,49 @@
     BOOST_TEST(node.sent_calls.size() == 3U);
 }
 
-BOOST_AUTO_TEST_CASE(admits_only_calls_that_can_finish_before_it_stops) {
+// Guards against calls that are longer than usual and are cut at the stop.
+BOOST_AUTO_TEST_CASE(admits_only_calls_whose_time_ends_before_it_stops) {
     router_fixture node;
     node.it.on_call(start, call_to("/look/a", 1));
-    node.reply_to_last(node.reply(outcome::done), start + ms(1500));
+    node.reply_to_last(node.reply(outcome::done), start + ms(40));
     node.it.on_call(start, call_to("/buy/a", 2));
     node.reply_to_last(node.reply(outcome::done), start + ms(40));
     node.it.stop_by(start + ms(4000));
+    for (const auto* path : {"/look/b", "/buy/b"}) {
+        node.results.clear();
+        auto call = call_to(path, 3);
+        call.time_left = ms(1001);
+        node.it.on_call(start + ms(3000), call);
+        BOOST_TEST((node.results.at(3).outcome == outcome::not_run));
+        BOOST_TEST((node.results.at(3).error == error_code::draining));
+        call.exchange = 4;
+        call.time_left = ms(1000);
+        node.it.on_call(start + ms(3000), call);
+        BOOST_TEST(node.results.count(4) == 0U);
+        node.reply_to_last(node.reply(outcome::done), start + ms(3900));
+    }
+    node.it.on_call(start + ms(3980), call_to("/buy/c", 5));
+    BOOST_TEST((node.results.at(5).error == error_code::draining));
+}
+
+// Guards against running calls that fail for want of those they make.
+BOOST_AUTO_TEST_CASE(admits_nested_calls_that_usually_finish_before_it_stops) {
+    router_fixture node;
+    const auto answer_nested = [&](duration after) {
+        auto reply = node.reply(outcome::done);
+        reply.is_nested = true;
+        node.reply_to_last(reply, start + after);
+    };
+    node.it.on_call(start, call_to("/look/a", 1));
+    answer_nested(ms(1500));
+    node.it.on_call(start, call_to("/buy/a", 2));
+    answer_nested(ms(40));
+    // A long one is not forgotten for many short ones.
+    for (exchange_id n = 10; n < 1010; ++n) {
+        node.it.on_call(start, call_to("/look/a", n));
+        answer_nested(ms(40));
+    }
+    node.it.stop_by(start + ms(4000));
     node.it.on_call(start + ms(3000), call_to("/look/b", 3));
     BOOST_TEST((node.results.at(3).error == error_code::draining));
     node.it.on_call(start + ms(3000), call_to("/buy/b", 4));
@@ -336,15 +372,19 @@
 
 BOOST_AUTO_TEST_CASE(lets_the_target_finish_admitted_calls_before_it_stops) {
     router_fixture node;
+    node.it.on_call(start, call_to("/look/a", 2));
+    auto nested = node.reply(outcome::done);
+    nested.is_nested = true;
+    node.reply_to_last(nested);
     node.it.stop_by(start + ms(4000));
     auto call = call_to("/look/a");
     call.time_left = std::chrono::seconds(6);
     node.it.on_call(start + ms(2000), call);
-    BOOST_REQUIRE(node.sent_calls.size() == 1U);
+    BOOST_REQUIRE(node.sent_calls.size() == 2U);
     // The target gives up at that time by itself; its response is returned.
     BOOST_TEST(node.sent_calls.back().call.time_left_ms == 2000U);
     node.it.tick(start + ms(4090));
-    BOOST_TEST(node.results.empty());
+    BOOST_TEST(node.results.count(1) == 0U);
     auto late = node.reply(outcome::done, error_code::target_failed);
     late.response.status = 504;
     node.reply_to_last(late, start + ms(4100));
@@ -352,6 +392,32 @@
     BOOST_TEST(node.results.at(1).response.status == 504);
 }
 
+// Guards against a call that is sent again too late to finish.
+BOOST_AUTO_TEST_CASE(sends_no_call_again_that_cannot_finish_before_it_stops) {
+    router_fixture node;
+    node.it.on_call(start, call_to("/buy/a", 1));
+    node.it.on_call(start, call_to("/buy/a", 2));
+    node.it.stop_by(start + ms(1000));
+    node.reply_to_last(node.reply(outcome::not_run, error_code::target_shed),
+                       start + ms(500));
+    BOOST_TEST((node.results.at(2).outcome == outcome::not_run));
+    node.it.on_not_sent(start + ms(500), node.sent_calls.front().call.sequence);
+    BOOST_TEST((node.results.at(1).outcome == outcome::not_run));
+    BOOST_TEST((node.results.at(1).error == error_code::draining));
+    BOOST_TEST(node.sent_calls.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(latencies_count_for_one_to_two_windows) {
+    recent_maximum it;
+    it.add(start, ms(900));
+    it.add(start + recent_maximum::window, ms(40));
+    BOOST_TEST((it.value() == ms(900)));
+    it.add(start + 2 * recent_maximum::window, ms(30));
+    BOOST_TEST((it.value() == ms(40)));
+    it.add(start + 5 * recent_maximum::window, ms(20));
+    BOOST_TEST((it.value() == ms(20)));
+}
+
 BOOST_AUTO_TEST_CASE(finishes_all_open_calls_before_it_exits) {
     router_fixture node;
     node.it.on_call(start, call_to("/look/a", 1));
