node: a stop waits for callers that still read

Cause: a response counted as delivered once it was handed to the connection; the bytes that the connection held were not looked at. The same for replies to other nodes.

Change: the stop is idle when no response byte is unsent or unacknowledged, and no frame waits for a peer; its limit is what it was.

Measured: are_answered_whole_to_slow_readers fails with the code of before (12,543,452 of 16,000,000 bytes) and passes.

--- a/source/integration/test/stop_test.cpp
+++ b/source/integration/test/stop_test.cpp
@@ -330,6 +330,41 @@
     BOOST_TEST(places.at(stopping).node->wait(8s) == 0);
 }
 
+// Guards against a node that ends while a caller still reads.
+BOOST_AUTO_TEST_CASE(are_answered_whole_to_slow_readers) {
+    constexpr std::size_t size = 16'000'000;
+    constexpr double bytes_per_s = 3'200'000;
+    for (std::size_t n = 1; n < places.size(); ++n)
+        places.at(n).target->pad(size);
+    const int fd = connect_to(places.at(stopping).outbound, 65536);
+    BOOST_REQUIRE(fd >= 0);
+    const std::string request =
+        "GET /again/back/ HTTP/1.1\r\nHost: shop.example\r\n"
+        "Request-Id: large\r\nRequest-Deadline: 4000\r\n"
+        "Connection: close\r\n\r\n";
+    BOOST_REQUIRE(write(fd, request.data(), request.size()) > 0);
+    http.sleep(300ms);
+    places.at(stopping).node->signal(SIGTERM);
+    std::size_t received = 0;
+    ssize_t last = 1;
+    const auto started = steady_now();
+    std::string buf(65536, ' ');
+    while (last > 0 || (last < 0 && errno == EAGAIN)) {
+        const auto due = static_cast<std::size_t>(
+            seconds(steady_now() - started) * bytes_per_s);
+        last = 1;
+        while (received < due && last > 0) {
+            last = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+            received += last > 0 ? static_cast<std::size_t>(last) : 0;
+        }
+        http.sleep(2ms);
+    }
+    close(fd);
+    BOOST_TEST(last == 0);
+    BOOST_TEST(received > size);
+    BOOST_TEST(places.at(stopping).node->wait(8s) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/source/io/include/redwingwind/io/stream_server.hpp
+++ b/source/io/include/redwingwind/io/stream_server.hpp
@@ -111,6 +111,8 @@
     std::uint16_t port() const;
     /// Requests passed to on_request and not yet responded to.
     std::size_t open_exchanges() const;
+    /// Whether a client has not acknowledged all bytes of its responses yet.
+    bool has_unsent_responses() const;
     /// Bytes of requests and responses held, see max_buffered_bytes.
     std::size_t buffered_bytes() const;
     std::size_t open_connections() const;
--- a/source/io/src/stream_server.cpp
+++ b/source/io/src/stream_server.cpp
@@ -6,8 +6,11 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <stdexcept>
 #include <unordered_map>
@@ -106,6 +109,11 @@
     }
 
     std::size_t open_exchanges() const { return open_exchanges_; }
+    bool has_unsent_responses() {
+        return std::any_of(
+            connections_.begin(), connections_.end(),
+            [](const auto& it) { return is_unsent(*it.second); });
+    }
     std::size_t buffered_bytes() const { return total_buffered_bytes_; }
     std::size_t open_connections() const { return connections_.size(); }
 
@@ -134,6 +142,8 @@
         /// Closes once the responses in out are sent.
         bool closes_after_responses{};
         bool is_write_shut_down{};
+        /// Bytes were sent whose acknowledgement has not been seen.
+        bool is_unacknowledged{};
         bool has_sent_continue{};
         /// When request bytes were last parsed, a response was last appended to
         /// out, or the write side was shut down.
@@ -144,6 +154,18 @@
         time_point request_started;
     };
 
+    static bool is_unsent(connection& it) {
+        if (!it.out.empty())
+            return true;
+        if (!it.is_unacknowledged)
+            return false;
+        int bytes = 0;
+        if (ioctl(it.stream.get_handle(), SIOCOUTQ, &bytes) != 0)
+            bytes = 0;
+        it.is_unacknowledged = bytes > 0;
+        return it.is_unacknowledged;
+    }
+
     connection* find(std::uint64_t id) {
         const auto found = connections_.find(id);
         return found == connections_.end() ? nullptr : found->second.get();
@@ -380,6 +402,7 @@
                 break;
             sent += static_cast<std::size_t>(n);
             it->last_sent = steady_now();
+            it->is_unacknowledged = true;
         }
         const bool was_blocked = it->out.size() > max_unsent_bytes;
         it->out.erase(0, sent);
@@ -506,6 +529,10 @@
     return impl_->open_exchanges();
 }
 
+bool stream_server::has_unsent_responses() const {
+    return impl_->has_unsent_responses();
+}
+
 std::size_t stream_server::buffered_bytes() const {
     return impl_->buffered_bytes();
 }
--- a/source/node/src/peer_links.cpp
+++ b/source/node/src/peer_links.cpp
@@ -9,6 +9,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <map>
@@ -151,6 +152,11 @@
 
     link_counters counters;
     std::size_t open_links() const { return links_.size(); }
+    bool has_unsent_frames() const {
+        return std::any_of(links_.begin(), links_.end(), [](const auto& it) {
+            return it.second->is_greeted && !it.second->out.empty();
+        });
+    }
 
   private:
     link& add(bool is_opener) {
@@ -514,4 +520,8 @@
     return impl_->open_links();
 }
 
+bool peer_links::has_unsent_frames() const {
+    return impl_->has_unsent_frames();
+}
+
 } // namespace redwingwind::node
--- a/source/node/src/peer_links.hpp
+++ b/source/node/src/peer_links.hpp
@@ -76,6 +76,8 @@
 
     const link_counters& counters() const;
     std::size_t open_links() const;
+    /// Whether frames wait for a peer to read.
+    bool has_unsent_frames() const;
 
   private:
     class link;
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -474,7 +474,9 @@
     const auto now = steady_now();
     const bool is_idle = call_router_->open_calls() == 0 &&
                          target_dispatcher_->open_calls() == 0 &&
-                         outbound_->open_exchanges() == 0;
+                         outbound_->open_exchanges() == 0 &&
+                         !outbound_->has_unsent_responses() &&
+                         !links_->has_unsent_frames();
     if (stop_.is_over(now, is_idle)) {
         call_router_->finish_all_calls(now);
         members_->leave(now);
