node: a restarted node is not hidden by the end of its earlier life

Both nodes of a service restarted in turn: its requests are refused for good.

Cause: each life of a node has a name of its own, and a record of any life that is not gone claimed the address. The suspicion of the earlier life, which came after the new one was heard of, took the new one's target out of use, and nothing brought it back until its record changed.

Change: address_holders, without I/O: of the nodes known at an address the one alive that was heard of last is there; a suspect gives way to one alive, and what is said about one life says nothing about another. A change hands over to the node that is there then.

--- a/source/integration/test/platform_test.cpp
+++ b/source/integration/test/platform_test.cpp
@@ -375,6 +375,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(a_node_that_is_back_at_once, two_services)
+
+// Guards against the suspicion of its earlier life that hides it.
+BOOST_AUTO_TEST_CASE(goes_on_being_used) {
+    for (const std::size_t n : {1U, 3U}) {
+        places.at(n).node->signal(SIGKILL);
+        places.at(n).node->wait(5s);
+        http.sleep(300ms);
+        places.start_node(n);
+    }
+    BOOST_REQUIRE(places.wait_ready());
+    for (const std::size_t n : {1U, 3U})
+        places.beat(n);
+    http.sleep(1s);
+    // Longer than the earlier lives are suspected for.
+    for (int n = 0; n < 60; ++n) {
+        const auto at = static_cast<std::size_t>(n) % 2 * 2;
+        BOOST_TEST(places.send(at, "/back/", "r" + std::to_string(n))
+                       .response.status == 200);
+        http.sleep(100ms);
+    }
+    BOOST_TEST(places.at(1).target->runs() > 0U);
+    BOOST_TEST(places.at(3).target->runs() > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_node_told_to_stop, two_services)
 
 BOOST_AUTO_TEST_CASE(finishes_the_requests_it_has) {
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -241,25 +241,25 @@
     if (record.endpoint == settings_.self.endpoint &&
         record.target == target_state::draining)
         on_earlier_departure(record);
-    if (is_here) {
-        // Another life has the address now, whose name was not heard before.
-        auto& at = name_at_[record.endpoint];
-        if (at != name && !at.value.empty())
-            call_router_->remove_target(at);
-        at = name;
-    } else if (const auto it = name_at_.find(record.endpoint);
-               it != name_at_.end() && it->second == name) {
-        name_at_.erase(it);
-    }
-    if (is_here && record.target == target_state::ready)
-        call_router_->add_target(record.service,
-                                 {name, record.domain, record.slots});
-    else
-        call_router_->remove_target(name);
+    const auto held = holders_.update(record);
+    if (held.before && held.before != held.now)
+        call_router_->remove_target(*held.before);
+    if (held.now == name)
+        use_target_of(record);
+    else if (held.now && held.now != held.before)
+        use_target_of(*members_->find(*held.now));
     // Calls that run there go on while their connection lives: a node may
     // count as dead because datagrams were lost, or because it is slow.
 }
 
+void relay_daemon::use_target_of(const member_record& record) {
+    if (record.target == target_state::ready)
+        call_router_->add_target(record.service,
+                                 {record.id.name, record.domain, record.slots});
+    else
+        call_router_->remove_target(record.id.name);
+}
+
 void relay_daemon::on_earlier_departure(const member_record& earlier) {
     log_event(log_channel::node, log_level::info, "target_in_doubt",
               {{"earlier_life", earlier.id.name.value}});
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <redwingwind/coordination/address_holders.hpp>
 #include <redwingwind/coordination/config_replicator.hpp>
 #include <redwingwind/coordination/membership.hpp>
 #include <redwingwind/coordination/view_exchange.hpp>
@@ -10,7 +11,6 @@
 #include <redwingwind/relay/call_router.hpp>
 #include <redwingwind/relay/target_dispatcher.hpp>
 
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -72,6 +72,8 @@
     void receive(const node_incarnation&, const Other&) {}
 
     void on_member(const coordination::member_record& record);
+    /// Calls go to the target beside the node, if it is ready.
+    void use_target_of(const coordination::member_record& record);
     /// An earlier life of this node was told that its target departs.
     void on_earlier_departure(const coordination::member_record& earlier);
     /// The target is used from now on.
@@ -111,7 +113,7 @@
     /// None when the settings name no address for it.
     std::unique_ptr<io::stream_server> metrics_server_;
     std::unordered_map<std::uint64_t, io::stream_client::call_id> at_target_;
-    std::map<coordination::address, node_name> name_at_;
+    coordination::address_holders holders_;
     bool has_met_others_{};
     io::reactor::timer_id timer_{};
     time_point timer_due_{};
