node: a restarted node waits no longer than one answer

Change: the first node that is met is probed at once, and the target is used when an answer to a probe comes, one round trip later: the answer itself tells of earlier lives. Nobody else can send calls to the target before that.

--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -159,7 +159,11 @@
     toggle_digest(record.id.name, it.digest);
     if (is_new)
         it.live_index = live_.size() + 1;
+    const bool was_alone = live_.empty();
     set_live(it, !is_gone(record.state));
+    // The first one met may know of this node's earlier lives.
+    if (was_alone && !live_.empty())
+        next_probe_ = now;
     if (record.state == member_state::suspect)
         suspects_[record.id.name] = now;
     else
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -30,8 +30,6 @@
 /// A node that knows no other is ready after this all the same: it may be
 /// the only one.
 constexpr duration alone_after = std::chrono::seconds(2);
-/// For what other nodes know of an earlier life of this one, once one replied.
-constexpr duration history_wait = std::chrono::milliseconds(300);
 constexpr std::uint64_t us_per_ms = 1000;
 /// How often a node writes the state that its decisions come from.
 constexpr duration state_interval = std::chrono::seconds(5);
@@ -79,6 +77,8 @@
         [this](const coordination::address& from,
                const coordination::datagram& message) {
             members_->receive(steady_now(), from, message);
+            if (members_->has_reply())
+                target_dispatcher_->release(steady_now());
             wake();
         });
     open_servers();
@@ -235,11 +235,6 @@
 void relay_daemon::on_member(const member_record& record) {
     const auto& name = record.id.name;
     call_router_->set_live_nodes(members_ ? members_->live_count() + 1 : 1);
-    const bool is_here = !coordination::is_gone(record.state);
-    if (is_here && !met_others_) {
-        met_others_ = steady_now();
-        await_history();
-    }
     if (record.endpoint == settings_.self.endpoint &&
         record.target == target_state::draining)
         on_earlier_departure(record);
@@ -270,20 +265,6 @@
                               started_wall_ms_);
 }
 
-void relay_daemon::await_history() {
-    loop_.after(history_wait, [this] {
-        if (members_->has_reply() || steady_now() - *met_others_ > alone_after)
-            release_target();
-        else
-            await_history();
-    });
-}
-
-void relay_daemon::release_target() {
-    target_dispatcher_->release(steady_now());
-    wake();
-}
-
 void relay_daemon::on_target(target_state state, std::uint32_t slots) {
     const auto& self = settings_.self;
     members_->set_target(steady_now(), self.service, slots, state);
@@ -370,8 +351,8 @@
     // Whoever gave it could have told of others, unless there are none.
     if (policy_since_ == time_point{})
         loop_.after(alone_after, [this] {
-            if (!met_others_)
-                release_target();
+            target_dispatcher_->release(steady_now());
+            wake();
         });
     policy_since_ = steady_now();
     call_router_->set_policy(
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -12,7 +12,6 @@
 #include <redwingwind/relay/target_dispatcher.hpp>
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -77,10 +76,6 @@
     void use_target_of(const coordination::member_record& record);
     /// An earlier life of this node was told that its target departs.
     void on_earlier_departure(const coordination::member_record& earlier);
-    /// Waits until other nodes could tell of earlier lives of this one.
-    void await_history();
-    /// The target is used from now on.
-    void release_target();
     void on_target(coordination::target_state state, std::uint32_t slots);
     /// True when it is newer than the one in force.
     bool offer_config(const std::string& text);
@@ -117,7 +112,6 @@
     std::unique_ptr<io::stream_server> metrics_server_;
     std::unordered_map<std::uint64_t, io::stream_client::call_id> at_target_;
     coordination::address_holders holders_;
-    std::optional<time_point> met_others_;
     io::reactor::timer_id timer_{};
     time_point timer_due_{};
     planned_stop stop_;
