node: a restarted node tells of its target while it asks about earlier lives

Cause: a node met the others with an absent target, and that it is ready then had to spread by gossip.

Change: its record tells the target's state from the first heartbeat; calls are rejected as not run until an answer to a probe came. Departures by address are indexed, as their look-up is part of each reply now.

--- a/source/coordination/include/redwingwind/coordination/membership.hpp
+++ b/source/coordination/include/redwingwind/coordination/membership.hpp
@@ -155,6 +155,7 @@
     /// Raises this node's version above a record that calls it not alive.
     void refute(const member_record& record);
     void store(time_point now, const member_record& record);
+    void forget_departure(const member_record& record);
     void set_live(entry& it, bool live);
     /// Adds a record's digest to the view's digests, or removes it (XOR).
     void toggle_digest(const node_name& name, std::uint64_t record_digest);
@@ -197,6 +198,8 @@
     /// deployment size that the product is designed for.
     std::map<failure_domain_name, std::set<node_name>> live_by_domain_;
     std::map<address, contact_probe> contacts_;
+    /// Nodes whose target announced its departure, by their address.
+    std::map<address, node_name> departed_at_;
     std::vector<node_name> probe_order_;
     std::optional<pending_probe> pending_;
     std::map<std::uint64_t, indirect_probe> indirect_probes_;
--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -77,14 +77,10 @@
 
 const member_record*
 membership::find_departure(const member_record& node) const {
-    const auto it =
-        std::find_if(entries_.begin(), entries_.end(), [&](const auto& known) {
-            const auto& record = known.second.record;
-            return record.endpoint == node.endpoint &&
-                   record.id.name != node.id.name &&
-                   record.target == target_state::draining;
-        });
-    return it == entries_.end() ? nullptr : &it->second.record;
+    const auto it = departed_at_.find(node.endpoint);
+    return it == departed_at_.end() || it->second == node.id.name
+               ? nullptr
+               : find(it->second);
 }
 
 std::uint64_t membership::view_digest() const {
@@ -145,6 +141,12 @@
     it.live_index = live_.size() + 1;
 }
 
+void membership::forget_departure(const member_record& record) {
+    const auto it = departed_at_.find(record.endpoint);
+    if (it != departed_at_.end() && it->second == record.id.name)
+        departed_at_.erase(it);
+}
+
 void membership::store(time_point now, const member_record& record) {
     auto& it = entries_[record.id.name];
     const bool is_new = it.record.id.name.value.empty();
@@ -154,6 +156,10 @@
         live_by_domain_[record.domain].insert(record.id.name);
     toggle_digest(record.id.name, it.digest);
     it.record = record;
+    if (record.target == target_state::draining)
+        departed_at_[record.endpoint] = record.id.name;
+    else
+        forget_departure(record);
     it.since = now;
     it.digest = is_gone(record.state) ? 0 : record_digest(record);
     toggle_digest(record.id.name, it.digest);
@@ -359,10 +365,11 @@
     const auto* known = find(message.sender.id.name);
     if (known != nullptr && is_gone(known->state))
         reply.members.push_back(*known);
-    // A node that has no target yet may have been restarted.
-    if (message.sender.target == target_state::absent)
-        if (const auto* left = find_departure(message.sender))
-            reply.members.push_back(*left);
+    if (const auto* left = find_departure(message.sender)) {
+        reply.members.resize(
+            std::min(reply.members.size(), max_records_per_datagram - 1));
+        reply.members.push_back(*left);
+    }
     hooks_.send(from, reply);
 }
 
@@ -544,8 +551,11 @@
         return now - it.second.sent > options_.probe_interval;
     });
     std::erase_if(entries_, [&](const auto& it) {
-        return is_gone(it.second.record.state) &&
-               now - it.second.since > options_.gone_retention;
+        const bool is_due = is_gone(it.second.record.state) &&
+                            now - it.second.since > options_.gone_retention;
+        if (is_due)
+            forget_departure(it.second.record);
+        return is_due;
     });
 }
 
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -78,7 +78,7 @@
                const coordination::datagram& message) {
             members_->receive(steady_now(), from, message);
             if (members_->has_reply())
-                target_dispatcher_->release(steady_now());
+                target_dispatcher_->release();
             wake();
         });
     open_servers();
@@ -350,10 +350,7 @@
         {{"version", policy->version}, {"routes", policy->routes.size()}});
     // Whoever gave it could have told of others, unless there are none.
     if (policy_since_ == time_point{})
-        loop_.after(alone_after, [this] {
-            target_dispatcher_->release(steady_now());
-            wake();
-        });
+        loop_.after(alone_after, [this] { target_dispatcher_->release(); });
     policy_since_ = steady_now();
     call_router_->set_policy(
         std::make_shared<const relay::traffic_policy>(*std::move(policy)));
--- a/source/relay/include/redwingwind/relay/target_dispatcher.hpp
+++ b/source/relay/include/redwingwind/relay/target_dispatcher.hpp
@@ -18,7 +18,7 @@
     /// A target without a heartbeat for this long is considered absent.
     duration announce_timeout{std::chrono::seconds(6)};
     overload::gate_options gate;
-    /// The target is not used before release().
+    /// No call is admitted before release().
     bool waits_for_release{};
     /// A target in doubt is used once a heartbeat follows its first one by this
     /// or more: late heartbeats end soon.
@@ -69,7 +69,9 @@
     void withdraw_target(time_point now, const std::string& instance,
                          std::uint64_t wall_ms);
     /// Ends the wait for what other nodes know of an earlier life of this one.
-    void release(time_point now);
+    /// The target's state is told to them meanwhile, so that it is known by the
+    /// time it may be used.
+    void release() { is_released_ = true; }
     /// An earlier life of this node was told that its target departs, so a
     /// heartbeat may be older than that. Until then, targets that started
     /// before wall_ms, in milliseconds since 1970, are used once confirmed.
--- a/source/relay/src/target_dispatcher.cpp
+++ b/source/relay/src/target_dispatcher.cpp
@@ -44,7 +44,7 @@
         set_state(target_state::draining);
         return;
     }
-    if (is_released_ && !is_in_doubt(now))
+    if (!is_in_doubt(now))
         set_state(target_state::ready);
 }
 
@@ -72,13 +72,6 @@
            statements_.announced_for() < options_.confirmation_interval;
 }
 
-void target_dispatcher::release(time_point now) {
-    if (is_released_)
-        return;
-    is_released_ = true;
-    update_state(now);
-}
-
 void target_dispatcher::doubt(time_point now, time_point until,
                               std::uint64_t wall_ms) {
     in_doubt_until_ = until;
@@ -145,8 +138,8 @@
                                      it.deadline, latest_useful};
     if (latest_useful <= now)
         gate_request.latest_useful = it.deadline;
-    const bool is_open =
-        state_ == target_state::ready && it.call.service == options_.service;
+    const bool is_open = state_ == target_state::ready && is_released_ &&
+                         it.call.service == options_.service;
     const bool has_time = it.deadline > now;
     by_key_[it.key] = execution;
     open_.emplace(execution, std::move(it));
@@ -156,8 +149,9 @@
     }
     if (!is_open) {
         reject(now, execution,
-               state_ == target_state::absent ? error_code::no_target
-                                              : error_code::draining,
+               state_ == target_state::absent || !is_released_
+                   ? error_code::no_target
+                   : error_code::draining,
                absent_retry_after);
         return;
     }
