node: a restarted node uses its target without waiting for others

Change: no wait. What other nodes know of a departure comes with the answer to the first probe, which is sent when another node is met, and the target is out of use then. Before that only callers of the same machine reach it, and no call without a configuration, which comes from the store or from a node that was met.

--- a/source/coordination/include/redwingwind/coordination/membership.hpp
+++ b/source/coordination/include/redwingwind/coordination/membership.hpp
@@ -100,9 +100,6 @@
     /// Alive and suspected nodes of a failure domain, including this node.
     std::vector<node_name> live_in(const failure_domain_name& domain) const;
     std::size_t live_count() const { return live_.size(); }
-    /// Whether another node replied to a probe of this one, and so told what it
-    /// knows of this node's earlier lives.
-    bool has_reply() const { return has_reply_; }
     /// Digest of all records of alive and suspected nodes.
     std::uint64_t view_digest() const;
     /// The same digest for each bucket; a node's name determines its bucket.
@@ -186,7 +183,6 @@
     member_record self_;
     hooks hooks_;
     bool has_left_{};
-    bool has_reply_{};
     std::uint64_t config_digest_{};
     std::uint64_t digest_{};
     std::vector<std::uint64_t> bucket_digests_;
--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -382,7 +382,6 @@
         indirect_probes_.erase(it);
         return;
     }
-    has_reply_ = true;
     if (pending_ && pending_->sequence == message.sequence)
         pending_.reset();
     for (auto& [contact, probe] : contacts_)
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -77,8 +77,6 @@
         [this](const coordination::address& from,
                const coordination::datagram& message) {
             members_->receive(steady_now(), from, message);
-            if (members_->has_reply())
-                target_dispatcher_->release();
             wake();
         });
     open_servers();
@@ -348,9 +346,6 @@
     log_event(
         log_channel::configuration, log_level::info, "in_force",
         {{"version", policy->version}, {"routes", policy->routes.size()}});
-    // Whoever gave it could have told of others, unless there are none.
-    if (policy_since_ == time_point{})
-        loop_.after(alone_after, [this] { target_dispatcher_->release(); });
     policy_since_ = steady_now();
     call_router_->set_policy(
         std::make_shared<const relay::traffic_policy>(*std::move(policy)));
--- a/source/node/src/relay_settings.cpp
+++ b/source/node/src/relay_settings.cpp
@@ -183,7 +183,6 @@
     settings.target_dispatcher.service = settings.self.service;
     settings.target_dispatcher.announce_timeout =
         from_seconds(absl::GetFlag(FLAGS_heartbeat_s) * missed_heartbeats);
-    settings.target_dispatcher.waits_for_release = true;
     settings.target_dispatcher.confirmation_interval =
         from_seconds(absl::GetFlag(FLAGS_heartbeat_s) / 2);
     settings.file = flag_file();
--- a/source/relay/include/redwingwind/relay/target_dispatcher.hpp
+++ b/source/relay/include/redwingwind/relay/target_dispatcher.hpp
@@ -18,8 +18,6 @@
     /// A target without a heartbeat for this long is considered absent.
     duration announce_timeout{std::chrono::seconds(6)};
     overload::gate_options gate;
-    /// No call is admitted before release().
-    bool waits_for_release{};
     /// A target in doubt is used once a heartbeat follows its first one by this
     /// or more: late heartbeats end soon.
     duration confirmation_interval{std::chrono::seconds(1)};
@@ -68,10 +66,6 @@
     /// from now on. wall_ms is the time in milliseconds since 1970.
     void withdraw_target(time_point now, const std::string& instance,
                          std::uint64_t wall_ms);
-    /// Ends the wait for what other nodes know of an earlier life of this one.
-    /// The target's state is told to them meanwhile, so that it is known by the
-    /// time it may be used.
-    void release() { is_released_ = true; }
     /// An earlier life of this node was told that its target departs, so a
     /// heartbeat may be older than that. Until then, targets that started
     /// before wall_ms, in milliseconds since 1970, are used once confirmed.
@@ -149,7 +143,6 @@
     nested_route_detector nested_routes_;
     target_statements statements_;
     coordination::target_state state_{coordination::target_state::absent};
-    bool is_released_{};
     time_point in_doubt_until_{};
     std::uint64_t in_doubt_wall_ms_{};
     time_point next_late_check_{};
--- a/source/relay/src/target_dispatcher.cpp
+++ b/source/relay/src/target_dispatcher.cpp
@@ -24,8 +24,7 @@
 
 target_dispatcher::target_dispatcher(target_dispatcher_options options, hooks h)
     : options_(std::move(options)), hooks_(std::move(h)), gate_(options_.gate),
-      statements_(options_.announce_timeout),
-      is_released_(!options_.waits_for_release) {}
+      statements_(options_.announce_timeout) {}
 
 void target_dispatcher::set_state(target_state state) {
     if (state == target_state::ready && is_stopping_)
@@ -138,8 +137,8 @@
                                      it.deadline, latest_useful};
     if (latest_useful <= now)
         gate_request.latest_useful = it.deadline;
-    const bool is_open = state_ == target_state::ready && is_released_ &&
-                         it.call.service == options_.service;
+    const bool is_open =
+        state_ == target_state::ready && it.call.service == options_.service;
     const bool has_time = it.deadline > now;
     by_key_[it.key] = execution;
     open_.emplace(execution, std::move(it));
@@ -149,9 +148,8 @@
     }
     if (!is_open) {
         reject(now, execution,
-               state_ == target_state::absent || !is_released_
-                   ? error_code::no_target
-                   : error_code::draining,
+               state_ == target_state::absent ? error_code::no_target
+                                              : error_code::draining,
                absent_retry_after);
         return;
     }
