integration: a test's poll does not keep itself alive

With ASan integration-test reported 44,730 bytes leaked, all from the function in from_running_orders_are_answered that held a pointer to itself. It holds a weak one now.

--- a/source/integration/test/stop_test.cpp
+++ b/source/integration/test/stop_test.cpp
@@ -319,9 +319,11 @@
                 stopping, path, id + "." + std::to_string(n) + "-0");
             const auto result = http.start(call, is_done);
             const auto poll = std::make_shared<std::function<void()>>();
-            *poll = [&, id, n, end, is_done, result, poll] {
+            *poll = [&, id, n, end, is_done, result,
+                     again = std::weak_ptr(poll)] {
                 if (!*is_done) {
-                    http.loop().after(5ms, *poll);
+                    http.loop().after(5ms,
+                                      [self = again.lock()] { (*self)(); });
                     return;
                 }
                 if (result->response.status != 200) {
