node: a link in use outlasts one that is opened for an earlier life

Cause: a greeting names its sender, not the life that it is for. A node that still counted the earlier life as alive opened links to it; the new life accepted them, took each for the successor of the one in use and closed that one, with all calls that ran on it. The opener then saw another life in the reply and closed the new link, too.

Change: an accepted link replaces the one in use when its first frame arrives. The opener sends none before the reply has shown it the life that it means. A cancellation goes over an open link only: a link that is gone took the call with it, and a new link would have carried a frame to whatever life is there. The product's own interface sends no frame meant for one life to a later one.

Result: outlast_one_that_is_opened_for_an_earlier_life (node-test) fails with the link replaced at the greeting, as before (three checks), and passes. links_of_a_node passes.

--- a/source/engine/src/node_core.cpp
+++ b/source/engine/src/node_core.cpp
@@ -194,7 +194,9 @@
         on_frame(now_, options_.self.id, message);
         return;
     }
-    if (const auto* record = members_.find(to.name))
+    // A later life knows nothing of what the frame is about.
+    const auto* record = members_.find(to.name);
+    if (record != nullptr && record->id == to)
         hooks_.send_frame(*record, message);
 }
 
--- a/source/node/src/peer_links.cpp
+++ b/source/node/src/peer_links.cpp
@@ -85,7 +85,14 @@
     bool is_connecting{};
     bool is_greeted{};
     bool is_flush_due{};
+    /// Whether an accepted link is the one in use with its peer. The peer shows
+    /// by a first frame that it opened the link to this life: its greeting
+    /// doesn't name the receiver.
+    bool is_in_use{};
     node_incarnation peer;
+    /// Where an opened link leads, and since when.
+    coordination::address endpoint;
+    time_point opened_at;
     std::uint64_t own_nonce{};
     std::uint64_t peer_nonce{};
     std::uint64_t sent_frames{};
@@ -156,6 +163,12 @@
         queue(*links_.at(found->second), message);
     }
 
+    void send_if_open(const node_incarnation& to, const frame& message) {
+        const auto found = opened_.find(to);
+        if (found != opened_.end())
+            queue(*links_.at(found->second), message);
+    }
+
     void drop(const node_incarnation& node) {
         if (const auto it = opened_.find(node); it != opened_.end())
             close(it->second);
@@ -200,6 +213,8 @@
         const bool is_full = links_.size() >= options_.most_links;
         auto& it = add(true);
         it.peer = to.id;
+        it.endpoint = to.endpoint;
+        it.opened_at = steady_now();
         if (is_full || !connect(it, to.endpoint)) {
             close_later(it.id);
             return it.id;
@@ -464,6 +479,8 @@
         }
         ++counters.frames_received;
         const auto peer = it.peer;
+        if (!it.is_opener && !it.is_in_use)
+            use(it);
         hooks_.on_frame(peer, *std::move(message));
         return true;
     }
@@ -478,28 +495,47 @@
             reject(id, "no valid greeting");
             return false;
         }
+        const auto endpoint = it.endpoint;
+        const auto opened_at = it.opened_at;
         if (it.is_opener && hello->node != it.peer) {
             // Another life has the address now; nothing was sent to it.
+            ++counters.answered_by_other_life;
             close(id);
+            report_greeting(hello->node, endpoint, opened_at);
             return false;
         }
-        // Who opens again has given up the one before. Its end may be seen
-        // late, when calls came on the new one already.
-        if (const auto before = accepted_.find(hello->node);
-            !it.is_opener && before != accepted_.end())
-            close(before->second);
         it.peer = hello->node;
         it.peer_nonce = hello->nonce;
         it.is_greeted = true;
-        if (!it.is_opener) {
+        if (!it.is_opener)
             append_sealed(it, hello_frame{self_, it.own_nonce}, hello_context);
-            accepted_[it.peer] = id;
-        }
         for (auto& message : std::exchange(it.waiting, {}))
             append_frame(it, std::move(message));
         it.waiting_bytes = 0;
         flush(it);
-        return true;
+        if (!it.is_opener)
+            return true;
+        report_greeting(hello->node, endpoint, opened_at);
+        return links_.contains(id);
+    }
+
+    void report_greeting(const node_incarnation& node,
+                         const coordination::address& endpoint,
+                         time_point opened_at) {
+        if (hooks_.on_greeted)
+            hooks_.on_greeted(node, endpoint, opened_at);
+    }
+
+    /// Who opens again and sends has given up the link before. Its end may be
+    /// seen late, when calls came on the new one already.
+    void use(link& it) {
+        if (const auto before = accepted_.find(it.peer);
+            before != accepted_.end()) {
+            ++counters.superseded;
+            close(before->second);
+        }
+        it.is_in_use = true;
+        accepted_[it.peer] = it.id;
     }
 
     void reject(std::uint64_t id, const std::string& why) {
@@ -524,7 +560,7 @@
             index.erase(named);
         if (it->is_opener)
             hooks_.on_down(it->peer, it->is_greeted);
-        else if (it->is_greeted && hooks_.on_caller_gone)
+        else if (it->is_in_use && hooks_.on_caller_gone)
             hooks_.on_caller_gone(it->peer);
     }
 
@@ -535,7 +571,7 @@
             const auto limit = it->is_greeted ? options_.idle_timeout
                                               : options_.handshake_timeout;
             // The side that opened a link closes it when idle.
-            const bool is_mine = it->is_opener || !it->is_greeted;
+            const bool is_mine = it->is_opener || !it->is_in_use;
             if (is_mine && now - it->last_used > limit)
                 old.push_back(id);
             else if (is_stalled(*it, now)) {
@@ -591,6 +627,11 @@
     impl_->send_back(to, message);
 }
 
+void peer_links::send_if_open(const node_incarnation& to,
+                              const frame& message) {
+    impl_->send_if_open(to, message);
+}
+
 void peer_links::drop(const node_incarnation& node) {
     impl_->drop(node);
 }
--- a/source/node/src/peer_links.hpp
+++ b/source/node/src/peer_links.hpp
@@ -32,6 +32,10 @@
     std::uint64_t accepted{};
     /// Closed for a wrong key, a malformed or an oversized frame.
     std::uint64_t rejected{};
+    /// Opened to a life of a node whose address another one has by now.
+    std::uint64_t answered_by_other_life{};
+    /// Accepted and in use when the same life opened the next one.
+    std::uint64_t superseded{};
     std::uint64_t bytes_sent{};
     /// Of these, by the frame's place among the kinds of frame.
     std::array<std::uint64_t, std::variant_size_v<coordination::frame>>
@@ -54,6 +58,12 @@
         /// A connection that another node opened ended; may be empty.
         std::function<void(const node_incarnation&)> on_caller_gone;
         std::function<void(const std::string& why)> on_rejected;
+        /// The node answered at the address on a connection that was opened
+        /// at `since`: any other life that was known there before that time
+        /// has ended. May be empty.
+        std::function<void(const node_incarnation&,
+                           const coordination::address&, time_point since)>
+            on_greeted{};
         /// A reply to this node was dropped, as its connection is gone; may
         /// be empty.
         std::function<void(const node_incarnation&)> on_undelivered;
@@ -80,6 +90,10 @@
     /// Over a connection that the other node opened; dropped without one.
     void send_back(const node_incarnation& to,
                    const coordination::frame& message);
+    /// Over an open connection only: a connection that is gone took the calls
+    /// with it that the frame is about.
+    void send_if_open(const node_incarnation& to,
+                      const coordination::frame& message);
     void drop(const node_incarnation& node);
 
     const link_counters& counters() const;
--- a/source/node/src/relay_hooks.cpp
+++ b/source/node/src/relay_hooks.cpp
@@ -89,7 +89,7 @@
         }
         const auto* record = members_->find(to);
         if (record != nullptr)
-            links_->send(*record, cancel);
+            links_->send_if_open(record->id, cancel);
     };
     h.answer = [this](relay::exchange_id exchange, relay::call_result answer) {
         outbound_->respond(exchange,
--- a/source/node/test/peer_links_test.cpp
+++ b/source/node/test/peer_links_test.cpp
@@ -39,6 +39,10 @@
         h.on_caller_gone = [this](const node_incarnation& node) {
             seen.push_back("gone " + node.name.value);
         };
+        h.on_greeted = [this](const node_incarnation& node,
+                              const coordination::address& at, time_point) {
+            greeted.push_back(node.name.value + " at " + to_string(at));
+        };
         h.on_undelivered = [this](const node_incarnation& node) {
             seen.push_back("undelivered " + node.name.value);
         };
@@ -56,6 +60,8 @@
 
     node_incarnation self;
     std::vector<std::string> seen;
+    /// Who answered, and where.
+    std::vector<std::string> greeted;
     std::optional<peer_links> links;
 };
 
@@ -91,6 +97,43 @@
     BOOST_TEST(wait_seen(caller_again, 1));
 }
 
+// Guards against a greeting for the life before a restart that ends the link in
+// use, and the calls on it.
+BOOST_AUTO_TEST_CASE(outlast_one_that_is_opened_for_an_earlier_life) {
+    caller.links->send(target.record(), coordination::cancel_frame{1});
+    BOOST_REQUIRE(wait_seen(target, 1));
+    auto earlier = target.record();
+    earlier.id = life("earlier", 9);
+    for (std::size_t n = 0; n < 3; ++n) {
+        caller.links->send(earlier, coordination::cancel_frame{2});
+        BOOST_REQUIRE(wait_seen(caller, n + 1));
+        BOOST_TEST(caller.seen.back() == "never up earlier");
+    }
+    const auto answered = "target at " + to_string(earlier.endpoint);
+    const std::vector<std::string> greeted(4, answered);
+    BOOST_TEST(caller.greeted == greeted, boost::test_tools::per_element());
+    caller.links->send(target.record(), coordination::cancel_frame{3});
+    BOOST_REQUIRE(wait_seen(target, 2));
+    const std::vector<std::string> wanted{"frame 1 from caller",
+                                          "frame 3 from caller"};
+    BOOST_TEST(target.seen == wanted, boost::test_tools::per_element());
+    target.links->send_back(caller.self, coordination::cancel_frame{4});
+    BOOST_REQUIRE(wait_seen(caller, 4));
+    BOOST_TEST(caller.seen.back() == "frame 4 from target");
+    BOOST_TEST(caller.links->counters().answered_by_other_life == 3U);
+    BOOST_TEST(target.links->counters().superseded == 0U);
+}
+
+// Guards against a cancellation that opens a connection to a node that is gone.
+BOOST_AUTO_TEST_CASE(are_not_opened_for_what_only_an_open_one_is_about) {
+    caller.links->send_if_open(target.self, coordination::cancel_frame{1});
+    BOOST_TEST(caller.links->open_links() == 0U);
+    caller.links->send(target.record(), coordination::cancel_frame{2});
+    caller.links->send_if_open(target.self, coordination::cancel_frame{3});
+    BOOST_REQUIRE(wait_seen(target, 2));
+    BOOST_TEST(target.seen.back() == "frame 3 from caller");
+}
+
 // The owner takes all frames to a node for undelivered that it gave before the
 // report of a link that never came up.
 BOOST_AUTO_TEST_CASE(deliver_no_frame_that_they_report_as_never_sent) {
