coordination: a node ends the records of earlier lives at its address

Change: a node that hears of another life at its own address that is not gone spreads its record as left, which is final for it. A node whose connection another life answered declares those dead that it had heard of at that address before it opened the connection, and gives up their links. They can object. One heard of later may have replaced the one that answered, as when the process was paused between the two.

--- a/source/coordination/include/redwingwind/coordination/address_holders.hpp
+++ b/source/coordination/include/redwingwind/coordination/address_holders.hpp
@@ -25,6 +25,10 @@
     /// Takes the latest record of a node.
     change update(const member_record& record);
 
+    /// The other nodes known at the address that are not gone.
+    std::vector<node_name> others_at(const address& at,
+                                     const node_name& node) const;
+
   private:
     struct known_node {
         node_name name;
--- a/source/coordination/include/redwingwind/coordination/membership.hpp
+++ b/source/coordination/include/redwingwind/coordination/membership.hpp
@@ -83,6 +83,13 @@
     /// Announces a planned stop. Nothing is sent or received afterwards.
     void leave(time_point now);
 
+    /// Another life answered at the node's address on a connection opened at
+    /// `since`. A node heard of before that has ended; it is declared dead and
+    /// true is returned. One heard of later may have replaced the one that
+    /// answered.
+    bool declare_replaced(time_point now, const node_name& name,
+                          time_point since);
+
     /// Asks a node which generation of the graph it has in force.
     void ask_census(const member_record& node, const graph_name& graph);
 
@@ -115,6 +122,7 @@
         member_record record;
         /// When the record was stored.
         time_point since;
+        time_point first_heard;
         /// Index in live_; valid only if that element is this node.
         std::size_t live_index{};
         /// 0 for dead and left nodes, which the view's digests leave out.
@@ -149,6 +157,8 @@
     bool apply(time_point now, const member_record& record);
     /// Like apply(), and gossips the record if it was applied.
     void apply_and_gossip(time_point now, const member_record& record);
+    /// Whether the record calls another life at this node's address alive.
+    bool is_earlier_life_here(const member_record& record) const;
     /// Raises this node's version above a record that calls it not alive.
     void refute(const member_record& record);
     void store(time_point now, const member_record& record);
--- a/source/coordination/src/address_holders.cpp
+++ b/source/coordination/src/address_holders.cpp
@@ -35,4 +35,16 @@
     return result;
 }
 
+std::vector<node_name> address_holders::others_at(const address& at,
+                                                  const node_name& node) const {
+    std::vector<node_name> names;
+    const auto found = at_.find(at);
+    if (found == at_.end())
+        return names;
+    for (const auto& it : found->second)
+        if (it.name != node)
+            names.push_back(it.name);
+    return names;
+}
+
 } // namespace redwingwind::coordination
--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -163,8 +163,10 @@
     it.since = now;
     it.digest = is_gone(record.state) ? 0 : record_digest(record);
     toggle_digest(record.id.name, it.digest);
-    if (is_new)
+    if (is_new) {
         it.live_index = live_.size() + 1;
+        it.first_heard = now;
+    }
     const bool was_alone = live_.empty();
     set_live(it, !is_gone(record.state));
     // The first one met may know of this node's earlier lives.
@@ -190,6 +192,11 @@
     queue_gossip(self_);
 }
 
+bool membership::is_earlier_life_here(const member_record& record) const {
+    return record.endpoint == self_.endpoint && record.endpoint.port != 0 &&
+           record.id.name != self_.id.name && !is_gone(record.state);
+}
+
 bool membership::apply(time_point now, const member_record& record) {
     if (record.id.name == self_.id.name) {
         refute(record);
@@ -205,14 +212,37 @@
 }
 
 void membership::apply_and_gossip(time_point now, const member_record& record) {
+    if (is_earlier_life_here(record)) {
+        // This node has the address, so the other life has ended.
+        auto ended = record;
+        ended.state = member_state::left;
+        apply_and_gossip(now, ended);
+        return;
+    }
     if (apply(now, record))
         queue_gossip(record);
 }
 
 void membership::merge(time_point now,
                        const std::vector<member_record>& records) {
-    for (const auto& record : records)
-        apply(now, record);
+    for (const auto& record : records) {
+        if (is_earlier_life_here(record))
+            apply_and_gossip(now, record);
+        else
+            apply(now, record);
+    }
+}
+
+bool membership::declare_replaced(time_point now, const node_name& name,
+                                  time_point since) {
+    const auto it = entries_.find(name);
+    if (it == entries_.end() || is_gone(it->second.record.state) ||
+        it->second.first_heard >= since)
+        return false;
+    auto record = it->second.record;
+    record.state = member_state::dead;
+    apply_and_gossip(now, record);
+    return true;
 }
 
 void membership::suspect(time_point now, const node_name& name) {
--- a/source/coordination/test/address_holders_test.cpp
+++ b/source/coordination/test/address_holders_test.cpp
@@ -58,6 +58,17 @@
                 change{first, first}));
 }
 
+BOOST_AUTO_TEST_CASE(tells_which_other_nodes_are_known_there) {
+    address_holders it;
+    it.update(record_of("n-1", member_state::suspect));
+    it.update(record_of("n-2", member_state::alive));
+    const address here{"10.0.0.1", 1000};
+    BOOST_TEST((it.others_at(here, second) == std::vector{first}));
+    it.update(record_of("n-1", member_state::dead));
+    BOOST_TEST(it.others_at(here, second).empty());
+    BOOST_TEST(it.others_at({"10.0.0.2", 1000}, second).empty());
+}
+
 // Guards against gossip about earlier lives that hides the one there, in
 // whatever order it arrives.
 RC_BOOST_PROP(ends_with_the_life_that_answers, ()) {
--- a/source/coordination/test/membership_test.cpp
+++ b/source/coordination/test/membership_test.cpp
@@ -106,6 +106,14 @@
         return true;
     }
 
+    bool nodes_all_see_left(int other) const {
+        return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& it) {
+            const auto* known =
+                it.second.members->find({"n" + std::to_string(other)});
+            return known != nullptr && known->state == member_state::left;
+        });
+    }
+
     void resume(int n) {
         nodes_[n].is_paused = false;
         for (auto& action : std::exchange(nodes_[n].queued, {}))
@@ -250,6 +258,44 @@
     BOOST_TEST(network.all_agree_alive());
 }
 
+// Guards against frames to the life before a restart, which others keep sending
+// until they take it for dead.
+BOOST_AUTO_TEST_CASE(and_are_back_at_once_end_their_earlier_life) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        fake_network network(seed, 12);
+        network.loss = 0.05;
+        network.run(8s);
+        auto outdated = network.nodes_[4].members->self();
+        network.nodes_[4].is_up = false;
+        network.run(300ms);
+        network.add(4, 1, "-later");
+        network.run(2s);
+        BOOST_TEST_INFO("seed " << seed);
+        BOOST_TEST(network.nodes_all_see_left(4));
+        // A record of it with a higher version arrives late.
+        ++outdated.version;
+        for (int n = 0; n < 4; ++n)
+            network.nodes_[n].members->merge(network.now_, {outdated});
+        BOOST_TEST(network.nodes_all_see_left(4));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(are_dead_once_another_one_answers_at_their_address) {
+    fake_network network(11, 6);
+    network.run(8s);
+    auto& members = *network.nodes_[0].members;
+    // Heard of after the connection was opened: the later life, maybe.
+    BOOST_TEST(
+        !members.declare_replaced(network.now_, {"n4"}, network.now_ - 10s));
+    BOOST_TEST(members.declare_replaced(network.now_, {"n4"}, network.now_));
+    BOOST_TEST(int(network.state_seen_by(0, 4)) == int(member_state::dead));
+    BOOST_TEST(!members.declare_replaced(network.now_, {"n4"}, network.now_));
+    BOOST_TEST(!members.declare_replaced(network.now_, {"n9"}, network.now_));
+    // It lives and objects.
+    network.run(10s);
+    BOOST_TEST(network.all_agree_alive());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(that_left_stay_left_when_an_old_record_arrives) {
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -305,6 +305,19 @@
     // count as dead because datagrams were lost, or because it is slow.
 }
 
+void relay_daemon::on_greeted(const node_incarnation& node,
+                              const coordination::address& at,
+                              time_point since) {
+    for (const auto& name : holders_.others_at(at, node.name)) {
+        const auto replaced = members_->find(name)->id;
+        if (!members_->declare_replaced(steady_now(), name, since))
+            continue;
+        log_event(log_channel::peer, log_level::info, "node_replaced",
+                  {{"node", name.value}, {"by", node.name.value}});
+        links_->drop(replaced);
+    }
+}
+
 void relay_daemon::use_target_of(const member_record& record) {
     if (record.target == target_state::ready)
         call_router_->add_target(record.service,
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -90,6 +90,9 @@
     void receive(const node_incarnation&, const Other&) {}
 
     void on_member(const coordination::member_record& record);
+    /// Another node answered at the address; see peer_links::hooks.
+    void on_greeted(const node_incarnation& node,
+                    const coordination::address& at, time_point since);
     /// Calls go to the target beside the node, if it is ready.
     void use_target_of(const coordination::member_record& record);
     /// An earlier life of this node was told that its target departs.
--- a/source/node/src/relay_hooks.cpp
+++ b/source/node/src/relay_hooks.cpp
@@ -179,6 +179,11 @@
         log_event(log_channel::peer, log_level::warn, "link_rejected",
                   {{"why", why}});
     };
+    h.on_greeted = [this](const node_incarnation& node,
+                          const coordination::address& at, time_point since) {
+        on_greeted(node, at, since);
+        wake();
+    };
     h.on_undelivered = [](const node_incarnation& to) {
         log_event(log_channel::peer, log_level::warn, "reply_undelivered",
                   {{"to", to.name.value}});
