node: a departure outlives the node that acknowledged it

Cause: the departure was in the memory of that process. Its record told the others that some target there was draining; so the next life of the node only doubted, and two late heartbeats ended the doubt.

Change: a departure names the incarnation that ends. It is acknowledged once four other nodes in several failure domains have confirmed that they know it, or answered 503. They tell it to each other life of a node at that address for 30 s, and the target's heartbeats don't count there; another instance or a later start is used at once, without the doubt. A target that was draining stays so. The fixture of a_target_that_left has an interval of 2 s: with its 30 s two heartbeats confirmed nothing, and the tests couldn't see the fault.

--- a/source/coordination/include/redwingwind/coordination/membership.hpp
+++ b/source/coordination/include/redwingwind/coordination/membership.hpp
@@ -2,6 +2,7 @@
 
 #include <redwingwind/common/time.hpp>
 #include <redwingwind/coordination/messages.hpp>
+#include <redwingwind/coordination/record_replicator.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -30,6 +31,10 @@
     /// Records of dead and left nodes are kept this long, which must exceed
     /// the longest delay of outdated gossip about them.
     duration gone_retention{std::chrono::hours(2)};
+    /// A departed target's statements arrive no later than this after the
+    /// departure; until then nodes at its address are told of it.
+    duration departure_retention{std::chrono::seconds(30)};
+    replication_options replication;
     /// Shortest time between two view exchanges that this node starts.
     duration exchange_interval{std::chrono::seconds(2)};
     /// One probe in this many goes to another region.
@@ -80,6 +85,11 @@
     void set_target(time_point now, const service_name& service,
                     std::uint32_t slots, target_state state);
 
+    /// Stores the record and spreads it; `done` is told whether it outlasts
+    /// this node. Not called in start(); may be called in receive() or tick().
+    void replicate(time_point now, const member_record& record,
+                   record_replicator::done_hook done);
+
     /// Announces a planned stop. Nothing is sent or received afterwards.
     void leave(time_point now);
 
@@ -99,9 +109,11 @@
 
     const member_record& self() const { return self_; }
     const member_record* find(const node_name& name) const;
-    /// Another life of the node, at the same address, whose target announced
-    /// its departure; nullptr when none is known.
-    const member_record* find_departure(const member_record& node) const;
+    /// What other lives at the node's address were told lately of departures
+    /// of their targets, the latest first: departures, and nodes whose target
+    /// is draining.
+    std::vector<member_record> departures_at(time_point now,
+                                             const member_record& node) const;
     /// All known records: dead and left nodes included, this node excluded.
     std::vector<member_record> all() const;
     /// Alive and suspected nodes of a failure domain, including this node.
@@ -162,7 +174,14 @@
     /// Raises this node's version above a record that calls it not alive.
     void refute(const member_record& record);
     void store(time_point now, const member_record& record);
+    void remember_departure(const member_record& record);
     void forget_departure(const member_record& record);
+    /// Adds what the receiver must know of departures at its address.
+    void attach_departures(time_point now, const member_record& receiver,
+                           datagram& message) const;
+    std::vector<node_name> choose_spread(std::size_t n,
+                                         const std::set<node_name>& asked);
+    record_replicator::hooks replicator_hooks();
     void set_live(entry& it, bool live);
     /// Adds a record's digest to the view's digests, or removes it (XOR).
     void toggle_digest(const node_name& name, std::uint64_t record_digest);
@@ -183,7 +202,7 @@
     /// Prefers a node of this failure domain, else one of this region.
     std::optional<node_name> random_in_domain();
     void reply_to_census(const address& from, const datagram& message);
-    void on_probe(const address& from, const datagram& message);
+    void on_probe(time_point now, const address& from, const datagram& message);
     void on_probe_reply(const datagram& message);
     void on_indirect_probe(time_point now, const address& from,
                            const datagram& message);
@@ -204,8 +223,9 @@
     /// deployment size that the product is designed for.
     std::map<failure_domain_name, std::set<node_name>> live_by_domain_;
     std::map<address, contact_probe> contacts_;
-    /// Nodes whose target announced its departure, by their address.
-    std::map<address, node_name> departed_at_;
+    /// Records with a departure, by their address, the latest last.
+    std::map<address, std::vector<node_name>> departed_at_;
+    record_replicator replicator_;
     std::vector<node_name> probe_order_;
     std::optional<pending_probe> pending_;
     std::map<std::uint64_t, indirect_probe> indirect_probes_;
--- a/source/coordination/src/membership.cpp
+++ b/source/coordination/src/membership.cpp
@@ -1,9 +1,11 @@
 #include <redwingwind/coordination/membership.hpp>
 
 #include <redwingwind/common/hash.hpp>
+#include <redwingwind/coordination/departure.hpp>
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 
 namespace redwingwind::coordination {
 namespace {
@@ -12,6 +14,9 @@
 /// bytes.
 constexpr std::size_t max_records_per_datagram = 7;
 constexpr std::size_t max_generations_per_datagram = 8;
+/// Targets follow each other at one address more slowly than their statements
+/// are forgotten.
+constexpr std::size_t max_departures_per_address = 4;
 /// Gossip rounds for a configuration's generation, in addition to the rounds
 /// that grow with the logarithm of the number of nodes.
 constexpr std::uint32_t extra_config_rounds = 2;
@@ -39,7 +44,8 @@
 } // namespace
 
 membership::membership(membership_options options, member_record self, hooks h)
-    : options_(options), self_(std::move(self)), hooks_(std::move(h)) {
+    : options_(options), self_(std::move(self)), hooks_(std::move(h)),
+      replicator_(options.replication, replicator_hooks()) {
     bucket_digests_.resize(bucket_count);
     toggle_digest(self_.id.name, record_digest(self_));
 }
@@ -75,12 +81,35 @@
     return names;
 }
 
-const member_record*
-membership::find_departure(const member_record& node) const {
-    const auto it = departed_at_.find(node.endpoint);
-    return it == departed_at_.end() || it->second == node.id.name
-               ? nullptr
-               : find(it->second);
+std::vector<member_record>
+membership::departures_at(time_point now, const member_record& node) const {
+    std::vector<member_record> records;
+    const auto found = departed_at_.find(node.endpoint);
+    if (found == departed_at_.end())
+        return records;
+    const auto& names = found->second;
+    for (auto it = names.rbegin(); it != names.rend(); ++it) {
+        const auto& known = entries_.at(*it);
+        const auto departure = departure_of(known.record);
+        const auto& reporter =
+            departure ? departure->reporter : known.record.id.name;
+        if (reporter != node.id.name &&
+            now - known.since < options_.departure_retention)
+            records.push_back(known.record);
+    }
+    return records;
+}
+
+void membership::attach_departures(time_point now,
+                                   const member_record& receiver,
+                                   datagram& message) const {
+    const auto departures = departures_at(now, receiver);
+    if (departures.empty())
+        return;
+    message.members.resize(std::min(
+        message.members.size(), max_records_per_datagram - departures.size()));
+    message.members.insert(message.members.end(), departures.begin(),
+                           departures.end());
 }
 
 std::uint64_t membership::view_digest() const {
@@ -143,21 +172,96 @@
 
 void membership::forget_departure(const member_record& record) {
     const auto it = departed_at_.find(record.endpoint);
-    if (it != departed_at_.end() && it->second == record.id.name)
+    if (it == departed_at_.end())
+        return;
+    std::erase(it->second, record.id.name);
+    if (it->second.empty())
         departed_at_.erase(it);
 }
 
+void membership::remember_departure(const member_record& record) {
+    auto& names = departed_at_[record.endpoint];
+    std::erase(names, record.id.name);
+    names.push_back(record.id.name);
+    if (names.size() > max_departures_per_address)
+        names.erase(names.begin());
+}
+
+std::vector<node_name>
+membership::choose_spread(std::size_t n, const std::set<node_name>& asked) {
+    // A sample is enough for a node in each failure domain.
+    constexpr std::size_t sampled_per_chosen = 16;
+    struct candidate {
+        bool was_asked{};
+        /// How many of its failure domain come before.
+        std::size_t rank{};
+        node_name name;
+    };
+    std::vector<candidate> candidates;
+    std::set<node_name> sampled;
+    std::map<failure_domain_name, std::size_t> of_domain;
+    for (std::size_t k = 0; k < n * sampled_per_chosen && !live_.empty(); ++k) {
+        const auto& name = live_[hooks_.random() % live_.size()];
+        if (!sampled.insert(name).second)
+            continue;
+        const bool was_asked = asked.contains(name);
+        const auto& domain = entries_.at(name).record.domain;
+        candidates.push_back(
+            {was_asked, was_asked ? 0 : of_domain[domain]++, name});
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const candidate& a, const candidate& b) {
+                         return std::tie(a.was_asked, a.rank) <
+                                std::tie(b.was_asked, b.rank);
+                     });
+    candidates.resize(std::min(candidates.size(), n));
+    std::vector<node_name> chosen;
+    for (auto& it : candidates)
+        chosen.push_back(std::move(it.name));
+    return chosen;
+}
+
+record_replicator::hooks membership::replicator_hooks() {
+    record_replicator::hooks h;
+    h.choose = [this](std::size_t n, const std::set<node_name>& asked) {
+        return choose_spread(n, asked);
+    };
+    h.live_nodes = [this] { return live_.size(); };
+    // A probe, as its reply shows that the receiver took what it carried.
+    h.send = [this](const node_name& to, const member_record& record) {
+        auto probe = make_datagram(datagram_kind::probe);
+        probe.sequence = next_sequence_++ << 1U;
+        probe.subject = to;
+        probe.members.insert(probe.members.begin(), record);
+        probe.members.resize(
+            std::min(probe.members.size(), max_records_per_datagram));
+        hooks_.send(entries_.at(to).record.endpoint, probe);
+        return probe.sequence;
+    };
+    return h;
+}
+
+void membership::replicate(time_point now, const member_record& record,
+                           record_replicator::done_hook done) {
+    apply_and_gossip(now, record);
+    send_gossip(now);
+    replicator_.start(now, record, std::move(done));
+}
+
 void membership::store(time_point now, const member_record& record) {
     auto& it = entries_[record.id.name];
     const bool is_new = it.record.id.name.value.empty();
-    if (!is_new)
+    if (!is_new) {
         live_by_domain_[it.record.domain].erase(record.id.name);
+        if (it.record.endpoint != record.endpoint)
+            forget_departure(it.record);
+    }
     if (!is_gone(record.state))
         live_by_domain_[record.domain].insert(record.id.name);
     toggle_digest(record.id.name, it.digest);
     it.record = record;
     if (record.target == target_state::draining)
-        departed_at_[record.endpoint] = record.id.name;
+        remember_departure(record);
     else
         forget_departure(record);
     it.since = now;
@@ -343,7 +447,7 @@
         hooks_.on_config(message.sender, reported);
     switch (message.kind) {
     case datagram_kind::probe:
-        on_probe(from, message);
+        on_probe(now, from, message);
         break;
     case datagram_kind::probe_reply:
         on_probe_reply(message);
@@ -384,7 +488,8 @@
     hooks_.send(from, reply);
 }
 
-void membership::on_probe(const address& from, const datagram& message) {
+void membership::on_probe(time_point now, const address& from,
+                          const datagram& message) {
     if (!message.subject.value.empty() && message.subject != self_.id.name)
         return;
     auto reply = make_datagram(datagram_kind::probe_reply);
@@ -394,12 +499,8 @@
     // raises its version.
     const auto* known = find(message.sender.id.name);
     if (known != nullptr && is_gone(known->state))
-        reply.members.push_back(*known);
-    if (const auto* left = find_departure(message.sender)) {
-        reply.members.resize(
-            std::min(reply.members.size(), max_records_per_datagram - 1));
-        reply.members.push_back(*left);
-    }
+        reply.members.insert(reply.members.begin(), *known);
+    attach_departures(now, message.sender, reply);
     hooks_.send(from, reply);
 }
 
@@ -414,6 +515,7 @@
     }
     if (pending_ && pending_->sequence == message.sequence)
         pending_.reset();
+    replicator_.on_confirmed(message.sequence);
     for (auto& [contact, probe] : contacts_)
         probe.has_replied |= probe.sequence == message.sequence;
 }
@@ -529,6 +631,7 @@
     const auto& record = entries_.at(*subject).record;
     if (record.state == member_state::suspect)
         probe.members.push_back(record);
+    attach_departures(now, record, probe);
     pending_ = {*subject, probe.sequence, now, false};
     hooks_.send(record.endpoint, probe);
 }
@@ -600,6 +703,7 @@
             since = now;
     }
     last_tick_ = now;
+    replicator_.tick(now);
     check_probe(now);
     if (now >= next_probe_)
         start_probe(now);
@@ -612,7 +716,7 @@
 }
 
 time_point membership::next_due() const {
-    auto due = std::min(next_probe_, next_expiry_);
+    auto due = std::min({next_probe_, next_expiry_, replicator_.next_due()});
     if (!pending_records_.empty() || !pending_generations_.empty())
         due = std::min(due, next_gossip_);
     if (pending_ && !pending_->is_indirect)
--- a/source/coordination/test/membership_test.cpp
+++ b/source/coordination/test/membership_test.cpp
@@ -1,4 +1,5 @@
 #include <redwingwind/coordination/config_replicator.hpp>
+#include <redwingwind/coordination/departure.hpp>
 #include <redwingwind/coordination/membership.hpp>
 #include <redwingwind/coordination/rendezvous.hpp>
 #include <redwingwind/coordination/view_exchange.hpp>
@@ -351,12 +352,48 @@
         network.run(1500ms);
         const auto& later = *network.nodes_[4].members;
         BOOST_TEST_INFO("seed " << seed);
-        BOOST_TEST(later.find_departure(later.self()) != nullptr);
+        BOOST_TEST(later.departures_at(network.now_, later.self()).size() ==
+                   1U);
         const auto& other = *network.nodes_[5].members;
-        BOOST_TEST(other.find_departure(other.self()) == nullptr);
+        BOOST_TEST(other.departures_at(network.now_, other.self()).empty());
     }
 }
 
+// Guards against a departure that is forgotten when the node that acknowledged
+// it is killed at once, and others with it.
+RC_BOOST_PROP(know_a_departure_that_a_killed_one_acknowledged, ()) {
+    const int count = *rc::gen::inRange(6, 13);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    fake_network network(seed, count);
+    network.loss = *rc::gen::element(0.0, 0.1);
+    network.run(8s);
+    auto& members = *network.nodes_[4].members;
+    const target_departure departure{"i-1", 1000, members.self().id.name,
+                                     members.self().endpoint};
+    const auto record = to_record(departure, members.self());
+    bool is_acknowledged = false;
+    members.replicate(network.now_, record,
+                      [&](bool is_kept) { is_acknowledged = is_kept; });
+    for (int n = 0; n < 80 && !is_acknowledged; ++n)
+        network.run(10ms);
+    RC_ASSERT(is_acknowledged);
+    // One of those that confirmed is left.
+    std::mt19937_64 random(seed);
+    std::set<int> killed{4};
+    while (killed.size() < replication_options{}.copies)
+        killed.insert(1 + static_cast<int>(random() % (count - 1)));
+    for (const auto n : killed)
+        network.nodes_[n].is_up = false;
+    network.run(500ms);
+    for (const auto n : killed)
+        network.add(n, 1, "-later");
+    network.run(3s);
+    const auto* known = network.nodes_[4].members->find(record.id.name);
+    RC_ASSERT(known != nullptr);
+    const bool is_same = departure_of(*known) == departure;
+    RC_ASSERT(is_same);
+}
+
 BOOST_AUTO_TEST_CASE(rejoin_after_a_long_network_partition) {
     fake_network network(6, 10);
     network.run(8s);
--- a/source/integration/test/departure_test.cpp
+++ b/source/integration/test/departure_test.cpp
@@ -15,7 +15,11 @@
 struct leaving_target {
     static constexpr std::size_t leaving = 1;
 
-    leaving_target() : places(http, {"front", "back", "back"}) {
+    static constexpr std::size_t other = 2;
+    /// A target is absent after four intervals without a heartbeat.
+    static constexpr node_limits limits{.heartbeat_s = 2};
+
+    leaving_target() : places(http, {"front", "back", "back"}, 4, limits) {
         for (std::size_t n = 0; n < places.size(); ++n)
             places.at(n).started_ms = wall_microseconds() / 1000;
         places.configure(1);
@@ -34,13 +38,28 @@
         return places.at(leaving).target->runs() - before;
     }
 
-    void restart_node() {
-        places.at(leaving).node->signal(SIGKILL);
-        places.at(leaving).node->wait(5s);
-        places.start_node(leaving);
+    void restart_node() { restart_nodes({leaving}); }
+
+    /// Kills them at the same moment.
+    void restart_nodes(const std::vector<std::size_t>& nodes) {
+        for (const auto n : nodes)
+            places.at(n).node->signal(SIGKILL);
+        for (const auto n : nodes)
+            places.at(n).node->wait(5s);
+        for (const auto n : nodes)
+            places.start_node(n);
         BOOST_REQUIRE(places.wait_ready());
     }
 
+    /// Two heartbeats of before the departure, held up by a partition.
+    void deliver_late_heartbeats() {
+        for (int n = 0; n < 2; ++n) {
+            BOOST_TEST(places.beat(leaving).status == 200);
+            BOOST_TEST(places.beat(other).status == 200);
+            http.sleep(1500ms);
+        }
+    }
+
     http_caller http;
     platform_deployment places;
 
@@ -84,9 +103,8 @@
     places.store_faults(R"({"refuse":true})");
     places.start_node(leaving);
     http.sleep(500ms);
-    BOOST_TEST(places.beat(leaving).status == 200);
     // Longer than a node waits for others.
-    http.sleep(3s);
+    deliver_late_heartbeats();
     places.store_faults(R"({"refuse":false})");
     BOOST_REQUIRE(places.wait_ready());
     http.sleep(500ms);
@@ -101,6 +119,34 @@
     BOOST_TEST(orders_run() == 0U);
 }
 
+// Guards against late heartbeats that confirm each other.
+BOOST_AUTO_TEST_CASE(is_not_used_again_for_late_heartbeats_after_a_restart) {
+    BOOST_TEST(places.leave(leaving).status == 200);
+    restart_node();
+    deliver_late_heartbeats();
+    BOOST_TEST(orders_run() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_again_after_the_loss_of_several_nodes) {
+    BOOST_TEST(places.beat(leaving, "draining").status == 200);
+    restart_nodes({leaving, other});
+    places.at(leaving).sequence -= 3;
+    deliver_late_heartbeats();
+    BOOST_TEST(orders_run() == 0U);
+}
+
+// Guards against a doubt about a target that started after the departure and
+// before the node.
+BOOST_AUTO_TEST_CASE(makes_room_for_a_life_that_starts_before_the_node) {
+    BOOST_TEST(places.leave(leaving).status == 200);
+    places.at(leaving).started_ms = wall_microseconds() / 1000;
+    places.at(leaving).sequence = 0;
+    restart_node();
+    BOOST_TEST(places.beat(leaving).status == 200);
+    http.sleep(500ms);
+    BOOST_TEST(orders_run() > 0U);
+}
+
 // Guards against a doubt that shuts out a target that started since.
 BOOST_AUTO_TEST_CASE(makes_room_for_a_new_life_after_a_restart) {
     BOOST_TEST(places.leave(leaving).status == 200);
--- a/source/integration/test/platform_places.cpp
+++ b/source/integration/test/platform_places.cpp
@@ -140,7 +140,8 @@
          << "\n--announce=" << local(it.announce)
          << "\n--metrics=" << local(it.metrics)
          << "\n--platform_store=" << local(store_.port())
-         << "\n--heartbeat_s=30\n--memory_mb=" << limits_.memory_mb
+         << "\n--heartbeat_s=" << limits_.heartbeat_s
+         << "\n--memory_mb=" << limits_.memory_mb
          << "\n--descriptors=" << limits_.descriptors
          << "\n--bounds=grace_s=" << grace_s_
          << ",retry_budget_ratio=0.2,budget_slack=50,budget_window_s=10,quota_"
--- a/source/integration/test/platform_places.hpp
+++ b/source/integration/test/platform_places.hpp
@@ -109,6 +109,8 @@
     /// Largest body by the operator's configuration, in bytes; 0 leaves the
     /// product's default.
     std::size_t max_body_bytes{};
+    /// Between heartbeats of a target, as the nodes are told.
+    int heartbeat_s{30};
 };
 
 /// Nodes on the platform's path: a store, and a node and a target for each of
--- a/source/node/src/relay_daemon.cpp
+++ b/source/node/src/relay_daemon.cpp
@@ -289,11 +289,15 @@
 
 void relay_daemon::on_member(const member_record& record) {
     const auto& name = record.id.name;
-    update_fleet();
-    call_router_->set_live_nodes(members_ ? members_->live_count() + 1 : 1);
+    if (const auto departure = coordination::departure_of(record)) {
+        on_departure(*departure);
+        return;
+    }
     if (record.endpoint == settings_.self.endpoint &&
         record.target == target_state::draining)
         on_earlier_departure(record);
+    update_fleet();
+    call_router_->set_live_nodes(members_ ? members_->live_count() + 1 : 1);
     const auto held = holders_.update(record);
     if (held.before && held.before != held.now)
         call_router_->remove_target(*held.before);
@@ -326,7 +330,28 @@
         call_router_->remove_target(record.id.name);
 }
 
+void relay_daemon::on_departure(
+    const coordination::target_departure& departure) {
+    if (departure.endpoint != settings_.self.endpoint ||
+        departure.reporter == settings_.self.id.name)
+        return;
+    log_event(log_channel::node, log_level::info, "target_left_earlier",
+              {{"instance", departure.instance},
+               {"started_ms", departure.started_ms},
+               {"earlier_life", departure.reporter.value}});
+    const auto now = steady_now();
+    target_dispatcher_->end_target(now, departure.instance,
+                                   departure.started_ms);
+    explained_lives_.insert(departure.reporter);
+    if (doubtful_lives_.erase(departure.reporter) > 0 &&
+        doubtful_lives_.empty())
+        target_dispatcher_->end_doubt(now);
+}
+
 void relay_daemon::on_earlier_departure(const member_record& earlier) {
+    if (explained_lives_.contains(earlier.id.name))
+        return;
+    doubtful_lives_.insert(earlier.id.name);
     log_event(log_channel::node, log_level::info, "target_in_doubt",
               {{"earlier_life", earlier.id.name.value}});
     target_dispatcher_->doubt(steady_now(),
@@ -346,21 +371,60 @@
 
 void relay_daemon::on_announce(
     const io::stream_server::incoming_request& arrival) {
-    announce_->respond(arrival.exchange, announced(arrival.request));
+    const auto result = announced(arrival.request);
+    if (result.departure)
+        acknowledge_departure(arrival.exchange, *result.departure,
+                              result.response);
+    else
+        announce_->respond(arrival.exchange, result.response);
     wake();
 }
 
-http_response relay_daemon::announced(const http_request& request) {
+coordination::target_departure
+relay_daemon::make_departure(const std::string& instance,
+                             std::uint64_t started_ms) const {
+    return {instance, started_ms, settings_.self.id.name,
+            settings_.self.endpoint};
+}
+
+void relay_daemon::acknowledge_departure(
+    io::stream_server::exchange_id exchange,
+    const coordination::target_departure& departure,
+    const http_response& response) {
+    // A target that is draining says so with each heartbeat.
+    if (departure.instance == kept_departure_.instance &&
+        departure.started_ms <= kept_departure_.started_ms) {
+        announce_->respond(exchange, response);
+        return;
+    }
+    const auto on_done = [this, exchange, departure, response](bool is_kept) {
+        if (is_kept)
+            kept_departure_ = departure;
+        else
+            log_event(log_channel::node, log_level::warn,
+                      "departure_not_acknowledged",
+                      {{"instance", departure.instance},
+                       {"live_nodes", members_->live_count() + 1}});
+        announce_->respond(exchange,
+                           is_kept ? response : plain(status_unavailable));
+    };
+    members_->replicate(steady_now(),
+                        coordination::to_record(departure, members_->self()),
+                        on_done);
+}
+
+relay_daemon::announce_result
+relay_daemon::announced(const http_request& request) {
     const auto instance = platform_adapter::instance_of_path(request.target);
     if (instance.empty())
-        return plain(status_not_found);
+        return {plain(status_not_found), {}};
     const auto now = steady_now();
     if (request.method == "DELETE") {
-        target_dispatcher_->withdraw_target(now, instance,
-                                            wall_microseconds() / us_per_ms);
+        const auto started_ms = target_dispatcher_->withdraw_target(
+            now, instance, wall_microseconds() / us_per_ms);
         log_event(log_channel::node, log_level::info, "target_left",
-                  {{"instance", instance}});
-        return plain(status_ok);
+                  {{"instance", instance}, {"started_ms", started_ms}});
+        return {plain(status_ok), make_departure(instance, started_ms)};
     }
     const auto said =
         platform_adapter::decode_heartbeat(instance, request.body);
@@ -368,7 +432,7 @@
         log_event(log_channel::node, log_level::warn, "heartbeat_unreadable",
                   {{"instance", instance},
                    {"why", std::string(said.status().message())}});
-        return plain(status_bad_request);
+        return {plain(status_bad_request), {}};
     }
     const auto before = target_dispatcher_->instance();
     if (!target_dispatcher_->announce(now, *said))
@@ -382,7 +446,11 @@
         log_event(log_channel::node, log_level::info, "target_started",
                   {{"instance", instance}, {"slots", said->slots}});
     }
-    return {status_ok, {{"Content-Type", "application/json"}}, "{}"};
+    announce_result result{
+        {status_ok, {{"Content-Type", "application/json"}}, "{}"}, {}};
+    if (said->is_draining)
+        result.departure = make_departure(instance, said->started_ms);
+    return result;
 }
 
 bool relay_daemon::offer_config(const std::string& text) {
--- a/source/node/src/relay_daemon.hpp
+++ b/source/node/src/relay_daemon.hpp
@@ -2,6 +2,7 @@
 
 #include <redwingwind/coordination/address_holders.hpp>
 #include <redwingwind/coordination/config_replicator.hpp>
+#include <redwingwind/coordination/departure.hpp>
 #include <redwingwind/coordination/membership.hpp>
 #include <redwingwind/coordination/owner_limiter.hpp>
 #include <redwingwind/coordination/view_exchange.hpp>
@@ -56,7 +57,19 @@
     io::stream_limits outbound_limits() const;
     void on_outbound(io::stream_server::incoming_request arrival);
     void on_announce(const io::stream_server::incoming_request& arrival);
-    http_response announced(const http_request& request);
+    struct announce_result {
+        http_response response;
+        /// Set when the response acknowledges a departure.
+        std::optional<coordination::target_departure> departure;
+    };
+    announce_result announced(const http_request& request);
+    coordination::target_departure
+    make_departure(const std::string& instance, std::uint64_t started_ms) const;
+    /// Responds once other nodes know that the target leaves: this one may be
+    /// killed the moment after.
+    void acknowledge_departure(io::stream_server::exchange_id exchange,
+                               const coordination::target_departure& departure,
+                               const http_response& response);
     void dispatch(relay::target_call call);
 
     void on_frame(const node_incarnation& from, coordination::frame message);
@@ -95,7 +108,9 @@
                     const coordination::address& at, time_point since);
     /// Calls go to the target beside the node, if it is ready.
     void use_target_of(const coordination::member_record& record);
-    /// An earlier life of this node was told that its target departs.
+    /// An earlier life of this node was told that a target departs.
+    void on_departure(const coordination::target_departure& departure);
+    /// The same, without the target's name.
     void on_earlier_departure(const coordination::member_record& earlier);
     void on_target(coordination::target_state state, std::uint32_t slots);
     /// True when it is newer than the one in force.
@@ -149,6 +164,12 @@
     std::unique_ptr<io::stream_server> metrics_server_;
     std::unordered_map<std::uint64_t, io::stream_client::call_id> at_target_;
     coordination::address_holders holders_;
+    /// Earlier lives of this node that were told of a departure, by whether it
+    /// is known which target departs.
+    std::set<node_name> doubtful_lives_;
+    std::set<node_name> explained_lives_;
+    /// The target's latest life that departed and that other nodes know of.
+    coordination::target_departure kept_departure_;
     /// Addresses of other nodes that the store or the settings name.
     std::set<coordination::address> contacts_;
     /// Whether the store's list, as last read, names this node and no other.
--- a/source/relay/include/redwingwind/relay/target_dispatcher.hpp
+++ b/source/relay/include/redwingwind/relay/target_dispatcher.hpp
@@ -64,13 +64,21 @@
     /// statement is known.
     bool announce(time_point now, const target_announcement& announcement);
     /// The target announced its departure; its incarnation gets no new calls
-    /// from now on. wall_ms is the time in milliseconds since 1970.
-    void withdraw_target(time_point now, const std::string& instance,
-                         std::uint64_t wall_ms);
-    /// An earlier life of this node was told that its target departs, so a
-    /// heartbeat may be older than that. Until then, targets that started
-    /// before wall_ms, in milliseconds since 1970, are used once confirmed.
+    /// from now on. wall_ms is the time in milliseconds since 1970. Returns
+    /// the latest start of the incarnations that ended, in the same unit.
+    std::uint64_t withdraw_target(time_point now, const std::string& instance,
+                                  std::uint64_t wall_ms);
+    /// An earlier life of this node was told that incarnations of the instance
+    /// depart which started by started_ms.
+    void end_target(time_point now, const std::string& instance,
+                    std::uint64_t started_ms);
+    /// An earlier life of this node was told that a target departs, and it is
+    /// not known which: a heartbeat may be older than that. Until then, targets
+    /// that started before wall_ms, in milliseconds since 1970, are used once
+    /// confirmed.
     void doubt(time_point now, time_point until, std::uint64_t wall_ms);
+    /// It is known by now which target departs.
+    void end_doubt(time_point now);
     /// Begins the stop of this node: no new calls are admitted.
     void stop();
 
@@ -143,6 +151,8 @@
     void set_state(coordination::target_state state);
     /// Sets the state that follows from the statements about the target.
     void update_state(time_point now);
+    /// Rejects what waits when the current target has departed.
+    void close_if_ended(time_point now);
     bool is_in_doubt(time_point now) const;
     void apply(time_point now, const overload::gate_actions& actions);
     void start(time_point now, std::uint64_t execution);
--- a/source/relay/include/redwingwind/relay/target_statements.hpp
+++ b/source/relay/include/redwingwind/relay/target_statements.hpp
@@ -31,7 +31,8 @@
 /// arrives, and tells which incarnation is there. An incarnation is an instance
 /// with the time of its start.
 ///
-/// - A departure is the last statement of an incarnation.
+/// - A departure is the last statement of an incarnation, whoever passes it on.
+/// - An incarnation that is draining stays so.
 /// - Of two heartbeats of one incarnation, the one with the higher sequence
 ///   number is the later.
 /// - Of two incarnations, the one that started later is there, as long as its
@@ -51,16 +52,24 @@
 
     /// Whether the heartbeat is the latest statement; it is current() then.
     bool announce(time_point now, const target_announcement& heartbeat);
-    /// Whether the instance is the current one. The departure is about the
-    /// latest incarnation of the instance that was heard; if none was, about
-    /// all that started before wall_ms.
-    bool depart(time_point now, const std::string& instance,
-                std::uint64_t wall_ms);
+    /// Takes a departure, which doesn't name the incarnation: it is about the
+    /// latest of the instance that was heard; if none was, about all that
+    /// started before wall_ms. Returns the latest start of those that ended.
+    std::uint64_t depart(time_point now, const std::string& instance,
+                         std::uint64_t wall_ms);
+    /// Another node was told that incarnations of the instance ended which
+    /// started by started_ms.
+    void end(time_point now, const std::string& instance,
+             std::uint64_t started_ms);
     /// The address denied that the current incarnation is there.
     void deny(time_point now);
 
     /// The latest heartbeat; without an instance before the first.
     const target_announcement& current() const { return current_; }
+    /// Whether the current incarnation departed or was denied.
+    bool has_current_ended() const {
+        return !current_.instance.empty() && !is_claimed_;
+    }
     /// Whether the current incarnation neither departed nor was denied, and was
     /// heard in time.
     bool is_present(time_point now) const;
@@ -85,8 +94,7 @@
     bool has_ended(const target_announcement& heartbeat) const;
     bool is_older(time_point now, const target_announcement& heartbeat) const;
     bool is_current(const target_announcement& heartbeat) const;
-    void end(time_point now, const std::string& instance,
-             std::uint64_t started_ms);
+    void forget_old(time_point now);
 
     duration lifetime_;
     target_announcement current_;
--- a/source/relay/src/target_dispatcher.cpp
+++ b/source/relay/src/target_dispatcher.cpp
@@ -56,10 +56,24 @@
     return true;
 }
 
-void target_dispatcher::withdraw_target(time_point now,
-                                        const std::string& instance,
-                                        std::uint64_t wall_ms) {
-    if (!statements_.depart(now, instance, wall_ms))
+std::uint64_t target_dispatcher::withdraw_target(time_point now,
+                                                 const std::string& instance,
+                                                 std::uint64_t wall_ms) {
+    const auto started_ms = statements_.depart(now, instance, wall_ms);
+    if (instance == statements_.current().instance)
+        close_if_ended(now);
+    return started_ms;
+}
+
+void target_dispatcher::end_target(time_point now, const std::string& instance,
+                                   std::uint64_t started_ms) {
+    statements_.end(now, instance, started_ms);
+    if (instance == statements_.current().instance)
+        close_if_ended(now);
+}
+
+void target_dispatcher::close_if_ended(time_point now) {
+    if (!statements_.has_current_ended() || state_ == target_state::draining)
         return;
     apply(now, gate_.close(error_code::draining));
     set_state(target_state::draining);
@@ -81,6 +95,11 @@
     set_state(target_state::absent);
 }
 
+void target_dispatcher::end_doubt(time_point now) {
+    in_doubt_until_ = {};
+    update_state(now);
+}
+
 void target_dispatcher::stop() {
     is_stopping_ = true;
     set_state(state_);
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -757,6 +757,37 @@
     BOOST_TEST((node.state == target_state::ready));
 }
 
+// Guards against late heartbeats that confirm each other, at a node that others
+// told which target departs.
+BOOST_AUTO_TEST_CASE(does_not_use_a_target_that_an_earlier_life_saw_leave) {
+    target_announcement late;
+    late.instance = "i-1";
+    late.service = {"orders"};
+    late.slots = 1;
+    late.started_ms = 1000;
+    late.sequence = 2;
+    for (const bool is_told_first : {false, true}) {
+        dispatcher_fixture node;
+        const auto until = start + target_statements::max_delay;
+        node.it.doubt(start, until, wall_ms);
+        if (is_told_first)
+            node.it.end_target(start, "i-1", 1000);
+        for (const int at_ms : {1000, 2500, 4000}) {
+            ++late.sequence;
+            node.it.announce(start + ms(at_ms), late);
+        }
+        node.it.end_target(start + ms(4000), "i-1", 1000);
+        BOOST_TEST((node.state == target_state::draining));
+        // Another target that is there already needs no confirmation now.
+        target_announcement next = late;
+        next.instance = "i-2";
+        next.sequence = 1;
+        node.it.announce(start + ms(4000), next);
+        node.it.end_doubt(start + ms(4000));
+        BOOST_TEST((node.state == target_state::ready));
+    }
+}
+
 // Guards against a denial of an earlier incarnation that closes the gate.
 BOOST_AUTO_TEST_CASE(keeps_a_new_target_when_the_one_before_is_denied) {
     dispatcher_fixture node;
--- a/source/relay/test/target_statements_test.cpp
+++ b/source/relay/test/target_statements_test.cpp
@@ -86,7 +86,8 @@
 BOOST_AUTO_TEST_CASE(leave_it_departed) {
     target_statements it(lifetime);
     BOOST_TEST(it.announce(start, heartbeat("i-1", 1000, 1)));
-    BOOST_TEST(it.depart(start + 1s, "i-1", wall_ms));
+    BOOST_TEST(it.depart(start + 1s, "i-1", wall_ms) == 1000U);
+    BOOST_TEST(it.has_current_ended());
     BOOST_TEST(!it.announce(start + 3s, heartbeat("i-1", 1000, 2)));
     BOOST_TEST(!it.is_present(start + 3s));
 }
@@ -94,7 +95,8 @@
 // Guards against the same at a node that started after the heartbeats.
 BOOST_AUTO_TEST_CASE(leave_one_departed_that_was_not_heard_before) {
     target_statements it(lifetime);
-    BOOST_TEST(!it.depart(start, "i-1", wall_ms));
+    BOOST_TEST(it.depart(start, "i-1", wall_ms) == wall_ms);
+    BOOST_TEST(!it.has_current_ended());
     BOOST_TEST(!it.announce(start + 3s, heartbeat("i-1", wall_ms - 1, 2)));
     BOOST_TEST(it.announce(start + 3s, heartbeat("i-1", wall_ms + 1, 1)));
 }
@@ -116,11 +118,33 @@
     target_statements it(lifetime);
     it.announce(start, heartbeat("i-1", 1000, 7));
     it.announce(start, heartbeat("i-2", 2000, 1));
-    BOOST_TEST(!it.depart(start, "i-1", wall_ms));
+    BOOST_TEST(it.depart(start, "i-1", wall_ms) == 1000U);
+    BOOST_TEST(!it.has_current_ended());
     BOOST_TEST(it.is_present(start));
     BOOST_TEST(!it.announce(start + 7s, heartbeat("i-1", 1000, 8)));
 }
 
+// Guards against one that is used again after it said that it leaves.
+BOOST_AUTO_TEST_CASE(leave_one_draining_that_was) {
+    target_statements it(lifetime);
+    it.announce(start, heartbeat("i-1", 1000, 1, true));
+    BOOST_TEST(it.announce(start, heartbeat("i-1", 1000, 2)));
+    BOOST_TEST(it.current().is_draining);
+    BOOST_TEST(it.announce(start, heartbeat("i-1", 2000, 1)));
+    BOOST_TEST(!it.current().is_draining);
+}
+
+// Guards against a departure that shuts out another instance, which may have
+// started before the one that left.
+BOOST_AUTO_TEST_CASE(let_another_instance_in_at_once) {
+    target_statements it(lifetime);
+    it.end(start, "i-1", 5000);
+    BOOST_TEST(it.announce(start, heartbeat("i-2", 2000, 1)));
+    BOOST_TEST(!it.announce(start, heartbeat("i-1", 5000, 9)));
+    it.end(start, "i-1", 5000);
+    BOOST_TEST(it.is_present(start));
+}
+
 // Guards against one that is shut out for good, as after a late departure of
 // its earlier life.
 BOOST_AUTO_TEST_CASE(count_again_when_they_go_on) {
@@ -186,6 +210,41 @@
     }
 }
 
+// Guards against late heartbeats at a node that was started after them and
+// hears of the departures from others, several times.
+RC_BOOST_PROP(undo_nothing_that_other_nodes_tell, ()) {
+    time_point end;
+    const auto history = random_history(end);
+    std::vector<statement> said;
+    for (const auto& it : history) {
+        const auto times = it.is_departure ? *rc::gen::inRange(1, 4) : 1;
+        said.insert(said.end(), static_cast<std::size_t>(times), it);
+    }
+    target_statements it(lifetime);
+    std::set<std::pair<std::string, std::uint64_t>> departed;
+    while (!said.empty()) {
+        const auto n = *rc::gen::inRange<std::size_t>(0, said.size());
+        const auto beat = said[n].heartbeat;
+        if (said[n].is_departure) {
+            it.end(end, beat.instance, beat.started_ms);
+            departed.insert({beat.instance, beat.started_ms});
+        } else {
+            it.announce(end, beat);
+        }
+        said.erase(said.begin() + static_cast<std::ptrdiff_t>(n));
+        const auto& current = it.current();
+        if (it.is_present(end))
+            RC_ASSERT(
+                !departed.contains({current.instance, current.started_ms}));
+    }
+    // The address and the id may be used again at once.
+    const std::string instance = *rc::gen::element("i-1", "i-2", "i-3");
+    RC_ASSERT(it.announce(end, heartbeat(instance, 100'000, 1)));
+    for (const auto& [name, started_ms] : departed)
+        it.end(end, name, started_ms);
+    RC_ASSERT(it.is_present(end));
+}
+
 // Guards against a target that late statements of earlier lives shut out.
 RC_BOOST_PROP(shut_out_no_new_life, ()) {
     time_point end;
