io: a status that no response can have is no response

Cause here: the reader of responses took any three digits. Up to 199 was passed over as an interim response: a call to a target that sent 000 had no answer until its deadline (504). 600 to 999 went to the client as its status. 101 was waited behind, though no other response follows it.

Change: each reader takes 200 to 599 as the status of a response, and 1xx but 101 as one that announces another. Targets of both interfaces: anything else is malformed, the call's outcome unknown, and the connection is closed. The store: a failure; fields of an interim response are no longer added to those of the response behind it. Peers: a reply of a node of the version before with such a status is an unknown outcome, on both interfaces.

Result: takes_no_status_that_a_response_cannot_have (stream-test), both cases of a_status (io-test), a_reply_with_no_status_of_a_response_is_no_result (relay-test) and that_sends_no_status_is_answered_for_at_once (integration- test, real processes) fail on the code before (000: 504 after the deadline; 600: the number itself) and pass now.

--- a/source/common/include/redwingwind/common/http_message.hpp
+++ b/source/common/include/redwingwind/common/http_message.hpp
@@ -33,6 +33,12 @@
     }
 };
 
+/// Whether a response with this status answers a request. A status below 200 is
+/// an interim one or none, and HTTP has none above 599.
+constexpr bool is_final_status(int status) {
+    return status >= 200 && status <= 599;
+}
+
 struct http_response {
     int status{200};
     std::vector<http_header> headers;
--- a/source/engine/src/caller.cpp
+++ b/source/engine/src/caller.cpp
@@ -267,6 +267,10 @@
         end_attempt(now, id, {outcome::unknown, error_code::cut_off});
         return;
     }
+    if (reply.what == outcome::done && !is_final_status(reply.status)) {
+        end_attempt(now, id, {outcome::unknown, error_code::cut_off});
+        return;
+    }
     const bool is_failure = reply.what == outcome::done &&
                             reply.status >= 500 &&
                             options_.mode == overload::control_mode::retries;
--- a/source/integration/test/faulty_target_test.cpp
+++ b/source/integration/test/faulty_target_test.cpp
@@ -200,6 +200,24 @@
 BOOST_AUTO_TEST_SUITE(on_the_platform)
 BOOST_AUTO_TEST_SUITE(a_faulty_target)
 
+// Guards against a caller that gets the number as its status, or nothing until
+// its deadline.
+BOOST_AUTO_TEST_CASE(that_sends_no_status_is_answered_for_at_once) {
+    faulty_targets it([&](const raw_request& arrival) {
+        const auto id = id_of(arrival);
+        const auto* status = id.starts_with("low") ? "000" : "600";
+        return raw_reply{"HTTP/1.1 " + std::string(status) +
+                         response_of(id).substr(sizeof("HTTP/1.1 200") - 1)};
+    });
+    for (const std::string id : {"low", "high"})
+        for (const std::string path : {"/back/", "/again/back/"}) {
+            const auto started = steady_now();
+            const auto answer = it.places.send(0, path, id + path).response;
+            BOOST_TEST(answer.status == 502, id << path);
+            BOOST_TEST((steady_now() - started < 1s));
+        }
+}
+
 // Each request is refused twice and served then. A target writes each refusal
 // once more, where the next response on that connection is due.
 BOOST_AUTO_TEST_CASE(that_repeats_its_refusals_has_no_order_run_twice) {
--- a/source/io/src/http1.cpp
+++ b/source/io/src/http1.cpp
@@ -21,6 +21,16 @@
     return {text.data(), text.size()};
 }
 
+constexpr int first_interim_status = 100;
+constexpr int switching_protocols = 101;
+
+/// An interim response announces another one. After 101 none follows, and no
+/// request asks for another protocol.
+bool is_interim_status(int status) {
+    return status >= first_interim_status && status < 200 &&
+           status != switching_protocols;
+}
+
 char to_lower(char c) {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
 }
@@ -150,8 +160,11 @@
             message_.target = to_std_view(target);
         }
         void on_response_impl(int code, string_view, int,
-                              error_code&) override {
+                              error_code& ec) override {
             message_.status = code;
+            if (!is_interim_status(code) && !is_final_status(code))
+                ec = beast::http::make_error_code(
+                    beast::http::error::bad_status);
         }
         void on_field_impl(beast::http::field, string_view name,
                            string_view value, error_code&) override {
--- a/source/io/src/http_client.cpp
+++ b/source/io/src/http_client.cpp
@@ -63,8 +63,10 @@
     }
     const std::string_view line(data, n);
     // An interim response is followed by another one.
-    if (line.starts_with("HTTP/"))
+    if (line.starts_with("HTTP/")) {
         it.is_header_complete = false;
+        it.response.headers.clear();
+    }
     // What follows a chunked body are no header fields.
     if (it.is_header_complete)
         return n;
@@ -85,6 +87,8 @@
         return http_failure::too_large;
     switch (code) {
     case CURLE_OK:
+        if (!is_final_status(it.response.status))
+            return http_failure::other;
         // libcurl takes a connection that is closed within the header fields
         // for the end of a response without a body.
         return it.is_header_complete ? http_failure::none
--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -29,7 +29,6 @@
 /// Part of the server's Keep-Alive timeout after which an idle connection is
 /// closed here, so that no request is sent while the server is closing it.
 constexpr double keep_alive_fraction = 0.8;
-constexpr int min_final_status = 200;
 
 /// The timeout in the Keep-Alive header; zero when there is none.
 duration keep_alive_timeout(const std::vector<http_header>& headers) {
@@ -377,7 +376,7 @@
     /// Moves the response from the reader to response_ and classifies it.
     response_kind take_response(connection& it) {
         response_ = it.reader.take_response();
-        if (response_.status < min_final_status)
+        if (!is_final_status(response_.status))
             return response_kind::skipped;
         const auto echo = find_header(response_.headers, it.echo_header);
         if (it.echo_header.empty() || echo == it.echo_value)
--- a/source/io/test/http_client_test.cpp
+++ b/source/io/test/http_client_test.cpp
@@ -42,6 +42,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_status)
+
+// Guards against a store whose faults are taken for its answers.
+BOOST_AUTO_TEST_CASE(that_a_response_cannot_have_is_a_failure) {
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        reactor loop;
+        const raw_server server(loop, [&](const raw_request&) {
+            return raw_reply{"HTTP/1.1 " + status +
+                                 " x\r\nContent-Length: 4\r\n\r\nbody",
+                             raw_reply::ending::closes};
+        });
+        http_client client(loop, 8);
+        const auto result = call(loop, client, server.port());
+        BOOST_TEST((result.failure != http_failure::none), status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(of_an_interim_response_announces_another_one) {
+    reactor loop;
+    const raw_server server(loop, [&](const raw_request&) {
+        return raw_reply{"HTTP/1.1 103 x\r\nLink: a\r\n\r\n"
+                         "HTTP/1.1 201 x\r\nContent-Length: 4\r\n\r\nbody"};
+    });
+    http_client client(loop, 8);
+    const auto result = call(loop, client, server.port());
+    BOOST_TEST((result.failure == http_failure::none));
+    BOOST_TEST(result.response.status == 201);
+    BOOST_TEST(find_header(result.response.headers, "Link").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(fields_behind_a_chunked_body)
 
 BOOST_AUTO_TEST_CASE(are_no_header_fields) {
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -423,6 +423,37 @@
         });
 }
 
+// Guards against a number that callers get as the status of their response.
+BOOST_AUTO_TEST_CASE(takes_no_status_that_a_response_cannot_have) {
+    for (const std::string status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        reactor loop;
+        const raw_server target(loop, [&](const raw_request&) {
+            return raw_reply{"HTTP/1.1 " + status +
+                             " x\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody"};
+        });
+        stream_client client(loop, options_for_port(target.port()));
+        const auto result = run_call(loop, client, call_with_id("1"));
+        BOOST_TEST((result.failure == stream_failure::malformed), status);
+        BOOST_TEST(client.open_connections() == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(reads_on_behind_an_interim_response) {
+    for (const std::string status : {"100", "102", "103", "199"}) {
+        reactor loop;
+        const raw_server target(loop, [&](const raw_request&) {
+            return raw_reply{"HTTP/1.1 " + status + " x\r\nLink: a\r\n\r\n" +
+                             response_to("1", "body")};
+        });
+        stream_client client(loop, options_for_port(target.port()));
+        const auto result = run_call(loop, client, call_with_id("1"));
+        BOOST_TEST((result.failure == stream_failure::none), status);
+        BOOST_TEST(result.response.body == "body");
+        BOOST_TEST(find_header(result.response.headers, "Link").empty());
+    }
+}
+
 // A target could otherwise report behind a body that it did not run the call.
 BOOST_AUTO_TEST_CASE(takes_no_field_behind_a_chunked_body_for_a_header) {
     reactor loop;
--- a/source/relay/src/call_router.cpp
+++ b/source/relay/src/call_router.cpp
@@ -333,6 +333,12 @@
     record_offered_loads(now, *it, reply);
     if (reply.is_leaving)
         remove_target(from);
+    // A node of an earlier version passes on whatever its target sent.
+    if (reply.what == outcome::done &&
+        !is_final_status(reply.response.status)) {
+        reply.what = outcome::unknown;
+        reply.why = error_code::cut_off;
+    }
     switch (reply.what) {
     case outcome::not_run:
         end_attempt(now, *it, dispatch_result::neutral);
--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -240,6 +240,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a node of an earlier version, which passes on any number that
+// its target sends in the place of a status.
+BOOST_AUTO_TEST_CASE(a_reply_with_no_status_of_a_response_is_no_result) {
+    for (const int status : {0, 101, 600, 999}) {
+        router_fixture node;
+        node.it.on_call(start, call_to("/buy/x"));
+        auto reply = node.reply(outcome::done);
+        reply.response.status = status;
+        node.reply_to_last(reply);
+        BOOST_REQUIRE(node.results.size() == 1U);
+        const auto& result = node.results.begin()->second;
+        BOOST_TEST((result.outcome == outcome::unknown), status);
+        BOOST_TEST(node.sent_calls.size() == 1U);
+    }
+}
+
 BOOST_FIXTURE_TEST_SUITE(a_call_of_an_owner, router_fixture)
 
 // Guards against calls that run without a valid credential, and against a
