io: what a parser leaves unread is bounded like a header

What was seen (reported by other operators): a target sent bytes without end, the node that had called it kept them all and ran out of memory.

Cause here: the HTTP parser bounds headers and bodies, but not the line before a chunk nor the fields behind the last one; what it doesn't take stays in the buffer. 40 callers at once took a node of 64 MB to 86 MB. Interim responses and those to other requests were read until the deadline.

Change: unread bytes beyond the limit of a header end the message, in requests with 431. A call is given up after 64 responses that are not its own.

The cases of stream-test are red before. a_response_without_end (io-test) shows the store's client bounded; it passed before, too.

--- a/source/integration/test/endless_target.cpp
+++ b/source/integration/test/endless_target.cpp
@@ -16,6 +16,7 @@
 /// Size of a chunk, in hexadecimal digits as they stand before it.
 constexpr auto chunk_size_line = "4000\r\n";
 constexpr std::size_t chunk_bytes = 0x4000;
+constexpr std::size_t field_bytes = 1000;
 
 std::string value_of(const std::string& request, const std::string& name) {
     const auto at = request.find("\r\n" + name + ": ");
@@ -27,8 +28,9 @@
 
 } // namespace
 
-endless_target::endless_target(io::reactor& loop)
-    : loop_(loop), listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+endless_target::endless_target(io::reactor& loop, part what)
+    : loop_(loop), what_(what),
+      listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -51,6 +53,55 @@
     }
 }
 
+std::string endless_target::begin(const std::string& id) const {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nRequest-Id: " + id + "\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    switch (what_) {
+    case part::status_line:
+        return "HTTP/1.1 200 ";
+    case part::header_field:
+        return head + "X: ";
+    case part::header_fields:
+        return head;
+    case part::body_without_length:
+        return head + "\r\n";
+    case part::body_in_chunks:
+        return chunked;
+    case part::chunk_extension:
+        return chunked + "1;x=";
+    case part::fields_behind_chunks:
+        return chunked + "0\r\n";
+    case part::interim_responses:
+    case part::other_responses:
+        break;
+    }
+    return {};
+}
+
+std::string endless_target::next() const {
+    switch (what_) {
+    case part::status_line:
+    case part::header_field:
+    case part::body_without_length:
+    case part::chunk_extension:
+        return std::string(chunk_bytes, 'x');
+    case part::header_fields:
+    case part::fields_behind_chunks:
+        return "X: " + std::string(field_bytes, 'x') + "\r\n";
+    case part::body_in_chunks:
+        break;
+    case part::interim_responses:
+        return "HTTP/1.1 103 x\r\nX: " + std::string(field_bytes, 'x') +
+               "\r\n\r\n";
+    case part::other_responses:
+        return "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: " +
+               std::to_string(chunk_bytes) + "\r\n\r\n" +
+               std::string(chunk_bytes, 'x');
+    }
+    return chunk_size_line + std::string(chunk_bytes, 'x') + "\r\n";
+}
+
 void endless_target::accept() {
     const int fd = ::accept(listener_, nullptr, nullptr);
     if (fd < 0)
@@ -81,9 +132,7 @@
     const auto end = it.request.find("\r\n\r\n");
     if (end == std::string::npos)
         return true;
-    it.out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nResponse-Seal: "
-             "s\r\nRequest-Id: " +
-             value_of(it.request, "Request-Id") + "\r\n\r\n";
+    it.out = begin(value_of(it.request, "Request-Id")) + next();
     it.watch.set_interest(true, true);
     return true;
 }
@@ -98,9 +147,7 @@
     written_ += static_cast<std::size_t>(n);
     it.out.erase(0, static_cast<std::size_t>(n));
     if (it.out.size() < chunk_bytes)
-        it.out.append(chunk_size_line)
-            .append(std::string(chunk_bytes, '.'))
-            .append("\r\n");
+        it.out.append(next());
     return true;
 }
 
--- a/source/integration/test/memory_test.cpp
+++ b/source/integration/test/memory_test.cpp
@@ -222,6 +222,71 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_target_writes_what_is_no_response)
+
+namespace {
+
+/// Many callers at once, whose requests may be repeated and may not; the target
+/// writes without end to each.
+void write_without_end(endless_target::part what) {
+    limited_nodes it({"front", "back"}, small);
+    const endless_target target(it.http.loop(), what);
+    it.replace_target(1, target.port());
+    it.serve();
+    crowd_options crowd;
+    crowd.clients = 40;
+    crowd.request = [](std::size_t n) {
+        const auto* path = n % 2 == 0 ? "/again/back/" : "/back/";
+        return get(path, std::to_string(n));
+    };
+    it.run(std::move(crowd));
+    BOOST_TEST(target.written() > 0U);
+    it.check_all();
+    // The node beside the target goes on with its work, too.
+    it.check_answers(1, "/again/front/");
+}
+
+} // namespace
+
+// Each guards against a process that keeps all that its target sends.
+BOOST_AUTO_TEST_CASE(stays_within_it_in_a_status_line) {
+    write_without_end(endless_target::part::status_line);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_a_header_field) {
+    write_without_end(endless_target::part::header_field);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_header_fields) {
+    write_without_end(endless_target::part::header_fields);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_a_body_without_length) {
+    write_without_end(endless_target::part::body_without_length);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_chunks) {
+    write_without_end(endless_target::part::body_in_chunks);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_a_chunk_extension) {
+    write_without_end(endless_target::part::chunk_extension);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_fields_behind_chunks) {
+    write_without_end(endless_target::part::fields_behind_chunks);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_interim_responses) {
+    write_without_end(endless_target::part::interim_responses);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_it_in_responses_to_another_request) {
+    write_without_end(endless_target::part::other_responses);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_clients_send_and_do_not_finish)
 
 // Guards against bodies that are held for clients that do not send the rest.
--- a/source/io/src/http1.cpp
+++ b/source/io/src/http1.cpp
@@ -86,6 +86,7 @@
   public:
     void restart(const http1_limits& limits, bool has_no_body) override {
         state = http1_state::empty;
+        max_header_bytes_ = limits.max_header_bytes;
         headers.clear();
         std::string().swap(body);
         length = 0;
@@ -118,6 +119,10 @@
                 break;
         }
         bytes.erase(0, consumed);
+        // The parser has no limit for the line before a chunk, nor for the
+        // fields behind the last one.
+        if (state == http1_state::partial && bytes.size() > max_header_bytes_)
+            state = http1_state::header_too_large;
         return state;
     }
 
@@ -198,6 +203,7 @@
     };
 
     std::unique_ptr<beast_parser> beast_parser_;
+    std::size_t max_header_bytes_{};
 };
 
 http1_reader::http1_reader(http1_role role, const http1_limits& limits) {
--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -30,6 +30,10 @@
 /// closed here, so that no request is sent while the server is closing it.
 constexpr double keep_alive_fraction = 0.8;
 
+/// A server that sends more interim responses, or responses to other requests,
+/// before the one expected is faulty.
+constexpr std::uint32_t max_unexpected_responses = 64;
+
 /// The timeout in the Keep-Alive header; zero when there is none.
 duration keep_alive_timeout(const std::vector<http_header>& headers) {
     const auto value = find_header(headers, "keep-alive");
@@ -85,6 +89,7 @@
         it->out.append(std::move(call.request.body));
         it->is_head = call.request.method == "HEAD";
         it->skipped_responses = 0;
+        it->interim_responses = 0;
         it->reader.start(response_limits(), it->is_head);
         set_buffered(*it, it->in.size());
         calls_.emplace(id, it->id);
@@ -127,6 +132,7 @@
         std::size_t buffered_bytes{};
         /// Responses to other requests skipped during the current call.
         std::uint32_t skipped_responses{};
+        std::uint32_t interim_responses{};
         /// The call that the connection serves; 0 while it is idle.
         call_id call{};
         callback on_end;
@@ -351,7 +357,9 @@
                 finish(it, is_kept_alive);
                 return;
             }
-            if (kind == response_kind::unidentified) {
+            const auto unexpected = it.skipped_responses + it.interim_responses;
+            if (kind == response_kind::unidentified ||
+                unexpected > max_unexpected_responses) {
                 fail(it.id, stream_failure::malformed);
                 return;
             }
@@ -376,8 +384,10 @@
     /// Moves the response from the reader to response_ and classifies it.
     response_kind take_response(connection& it) {
         response_ = it.reader.take_response();
-        if (!is_final_status(response_.status))
+        if (!is_final_status(response_.status)) {
+            ++it.interim_responses;
             return response_kind::skipped;
+        }
         const auto echo = find_header(response_.headers, it.echo_header);
         if (it.echo_header.empty() || echo == it.echo_value)
             return response_kind::matching;
--- a/source/io/test/http_client_test.cpp
+++ b/source/io/test/http_client_test.cpp
@@ -7,6 +7,7 @@
 using namespace redwingwind;
 using namespace redwingwind::io;
 using namespace redwingwind::io::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -14,6 +15,8 @@
     http_call c;
     c.url = "http://127.0.0.1:" + std::to_string(port) + "/";
     c.may_resend = false;
+    c.timeout = 1s;
+    c.max_body_bytes = 100'000;
     std::optional<http_result> result;
     client.start(c, [&](http_result r) { result = std::move(r); });
     BOOST_REQUIRE(
@@ -42,6 +45,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_response_without_end)
+
+// Guards against a store whose bytes are kept for as long as it sends.
+BOOST_AUTO_TEST_CASE(is_given_up) {
+    constexpr std::size_t long_part = 200'000;
+    const std::string x(long_part, 'x');
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const auto chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string interim;
+    for (int n = 0; n < 100; ++n)
+        interim +=
+            "HTTP/1.1 102 x\r\nX: " + std::string(1000, 'x') + "\r\n\r\n";
+    for (const auto& bytes :
+         {"HTTP/1.1 200 " + x, ok + "X: " + x, ok + "\r\n" + x,
+          chunked + "30d40\r\n" + x, chunked + "4;x=" + x,
+          chunked + "0\r\nX: " + x, interim}) {
+        reactor loop;
+        const raw_server server(
+            loop, [&](const raw_request&) { return raw_reply{bytes}; });
+        http_client client(loop, 8);
+        const auto result = call(loop, client, server.port());
+        BOOST_TEST((result.failure != http_failure::none), bytes.substr(0, 80));
+        BOOST_TEST(result.response.body.size() <= 100'000U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_status)
 
 // Guards against a store whose faults are taken for its answers.
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -153,6 +153,13 @@
     raw_client with_body(loop, server.it.port());
     with_body.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
     BOOST_TEST(with_body.wait_for("HTTP/1.1 413 "));
+    for (const std::string framing : {"4;x=", "0\r\nX: "}) {
+        raw_client with_chunk(loop, server.it.port());
+        with_chunk.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n" +
+                        framing + std::string(400, 'x'));
+        BOOST_TEST(with_chunk.wait_for("HTTP/1.1 431 "));
+    }
     BOOST_TEST(server.requests.empty());
 }
 
@@ -454,6 +461,32 @@
     }
 }
 
+// Guards against bytes without end that are kept, or read until the deadline.
+BOOST_AUTO_TEST_CASE(gives_up_a_response_that_does_not_come_to_its_end) {
+    constexpr std::size_t long_part = 200'000;
+    const std::string x(long_part, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+    std::string interim;
+    std::string of_others;
+    for (int n = 0; n < 100; ++n) {
+        interim += "HTTP/1.1 102 x\r\n\r\n";
+        of_others += response_to("2", "body");
+    }
+    for (const auto& bytes :
+         {"HTTP/1.1 200 " + x, "HTTP/1.1 200 OK\r\nX: " + x,
+          chunked + "4;x=" + x, chunked + "0\r\nX: " + x, interim, of_others}) {
+        reactor loop;
+        const raw_server target(
+            loop, [&](const raw_request&) { return raw_reply{bytes}; });
+        stream_client client(loop, options_for_port(target.port()));
+        const auto result = run_call(loop, client, call_with_id("1"));
+        BOOST_TEST((result.failure == stream_failure::malformed),
+                   bytes.substr(0, 80));
+        BOOST_TEST(client.open_connections() == 0U);
+    }
+}
+
 // A target could otherwise report behind a body that it did not run the call.
 BOOST_AUTO_TEST_CASE(takes_no_field_behind_a_chunked_body_for_a_header) {
     reactor loop;
