platform: a caller's Connection field removes only what the caller sent

Cause: the list was applied when the request was written to the target, to the fields that the system had added as well.

Result: cannot_remove_what_the_product_sets (platform-adapter-test) is red before and passes.

--- a/source/io/include/redwingwind/io/http1.hpp
+++ b/source/io/include/redwingwind/io/http1.hpp
@@ -87,11 +87,17 @@
 bool is_connection_option(const std::vector<http_header>& headers,
                           std::string_view name);
 
+/// Removes the Connection fields of a received message and the fields that they
+/// name, but for those that say where the message goes and where it ends. To be
+/// called before fields are added that the sender must not remove.
+void remove_connection_fields(std::vector<http_header>& headers);
+
 /// Compares ASCII text ignoring case.
 bool equals_ignore_case(std::string_view a, std::string_view b);
 
-/// Serializes a request. Hop-by-hop fields are left out; the body is sent with
-/// a Content-Length, however it was framed before.
+/// Serializes a request. Hop-by-hop fields are left out, but not those that a
+/// Connection field names, see remove_connection_fields(); the body is sent
+/// with a Content-Length, however it was framed before.
 std::string write_request(const http_request& request);
 /// The same without the body, which follows it on the connection.
 std::string write_request_head(const http_request& request);
@@ -104,7 +110,8 @@
     bool has_no_body{};
 };
 
-/// Serializes a response, with the same rules as write_request().
+/// Serializes a response, with the same rules as write_request(), and without
+/// the fields that a Connection field names.
 std::string write_response(const http_response& response,
                            const response_framing& framing);
 /// The same without the body, which follows it unless framing.has_no_body.
--- a/source/io/src/http1.cpp
+++ b/source/io/src/http1.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <iterator>
 #include <utility>
 
 namespace redwingwind::io {
@@ -302,6 +303,26 @@
     return false;
 }
 
+void remove_connection_fields(std::vector<http_header>& headers) {
+    static constexpr std::array<std::string_view, 3> kept{
+        "host", "content-length", "transfer-encoding"};
+    std::vector<http_header> lists;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(lists),
+                 [](const http_header& it) {
+                     return equals_ignore_case(it.name, "connection");
+                 });
+    if (lists.empty())
+        return;
+    std::erase_if(headers, [&](const http_header& it) {
+        const bool is_kept =
+            std::any_of(kept.begin(), kept.end(), [&](auto name) {
+                return equals_ignore_case(it.name, name);
+            });
+        return equals_ignore_case(it.name, "connection") ||
+               (!is_kept && is_connection_option(lists, it.name));
+    });
+}
+
 namespace {
 
 constexpr std::size_t typical_header_bytes = 512;
@@ -335,8 +356,7 @@
     buf.reserve(typical_header_bytes);
     buf.append(request.method).append(" ");
     buf.append(request.target).append(" HTTP/1.1\r\n");
-    append_headers(buf, request.headers,
-                   has_field(request.headers, "connection"));
+    append_headers(buf, request.headers, false);
     const bool is_framed = has_field(request.headers, "content-length") ||
                            has_field(request.headers, "transfer-encoding");
     if (is_framed || !request.body.empty())
