io: a transfer coding other than chunked is malformed

Cause: the parser takes a request whose coding it doesn't know for one without a body, and a response for one that ends with the connection; nothing else looked at the coding.

Change: a message has no transfer coding or one "chunked"; a request is answered 400 and its connection closed, a response is malformed.

Result: rejects_requests_with_another_coding_than_chunked and takes_no_response_with_another_coding_than_chunked (stream-test) are red before and pass.

--- a/source/io/include/redwingwind/io/http1.hpp
+++ b/source/io/include/redwingwind/io/http1.hpp
@@ -31,8 +31,8 @@
 
 /// Parses the messages of an HTTP/1.1 connection one after another, with
 /// Boost.Beast's parser. A message with two lengths, or with a length and a
-/// chunked body, is malformed: it could hide a second request (request
-/// smuggling).
+/// chunked body, or with another transfer coding than chunked, is malformed: it
+/// could hide a second request (request smuggling).
 class http1_reader {
   public:
     http1_reader(http1_role role, const http1_limits& limits);
--- a/source/io/src/http1.cpp
+++ b/source/io/src/http1.cpp
@@ -32,6 +32,14 @@
            status != switching_protocols;
 }
 
+constexpr std::string_view white_space = " \t";
+
+std::string_view trimmed(std::string_view text) {
+    text.remove_prefix(
+        std::min(text.find_first_not_of(white_space), text.size()));
+    return text.substr(0, text.find_last_not_of(white_space) + 1);
+}
+
 char to_lower(char c) {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
 }
@@ -44,6 +52,22 @@
         [](char x, char y) { return to_lower(x) == to_lower(y); });
 }
 
+namespace {
+
+/// The library takes a message whose transfer coding it doesn't know for one
+/// without a body, or one that ends with the connection.
+bool has_known_coding(const std::vector<http_header>& headers) {
+    std::size_t codings = 0;
+    for (const auto& it : headers)
+        if (equals_ignore_case(it.name, "transfer-encoding") &&
+            (!equals_ignore_case(trimmed(it.value), "chunked") ||
+             ++codings > 1))
+            return false;
+    return true;
+}
+
+} // namespace
+
 /// Interface of the parser for requests and the parser for responses, with the
 /// parts of the message parsed so far.
 class http1_reader::message_parser {
@@ -180,7 +204,12 @@
             message_.headers.push_back({std::string(to_std_view(name)),
                                         std::string(to_std_view(value))});
         }
-        void on_header_impl(error_code&) override { is_header_read_ = true; }
+        void on_header_impl(error_code& ec) override {
+            is_header_read_ = true;
+            if (!has_known_coding(message_.headers))
+                ec = beast::http::make_error_code(
+                    beast::http::error::bad_transfer_encoding);
+        }
         void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                                error_code&) override {
             message_.length = length ? static_cast<std::size_t>(*length) : 0;
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -17,6 +17,24 @@
 using namespace redwingwind::io::test;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Sends a request with each framing, and behind it what could be another one.
+void check_rejected(const std::vector<std::string>& framings) {
+    for (const auto& framing : framings) {
+        reactor loop;
+        recording_server server(loop);
+        raw_client client(loop, server.it.port());
+        client.send("POST /a HTTP/1.1\r\nHost: h\r\n" + framing +
+                    "\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n");
+        BOOST_TEST(client.wait_for("HTTP/1.1 400 "), framing);
+        BOOST_TEST(client.wait_for_end());
+        BOOST_TEST(server.requests.empty());
+    }
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(an_event_loop)
 
 BOOST_AUTO_TEST_CASE(reports_a_write_to_a_closed_connection_as_an_error) {
@@ -129,16 +147,16 @@
         "Transfer-Encoding: chunked\r\nContent-Length: 4",
         "Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 5",
         "Content-Length: -1"};
-    for (const auto& framing : framings) {
-        reactor loop;
-        recording_server server(loop);
-        raw_client client(loop, server.it.port());
-        client.send("POST /a HTTP/1.1\r\nHost: h\r\n" + framing +
-                    "\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n");
-        BOOST_TEST(client.wait_for("HTTP/1.1 400 "));
-        BOOST_TEST(client.wait_for_end());
-        BOOST_TEST(server.requests.empty());
-    }
+    check_rejected(framings);
+}
+
+// Guards against a body that is run as the next request.
+BOOST_AUTO_TEST_CASE(rejects_requests_with_another_coding_than_chunked) {
+    const std::string name = "Transfer-Encoding: ";
+    check_rejected({name + "gzip", name + "identity", name + "\"chunked\"",
+                    name, name + "chunked, gzip", name + "gzip, chunked",
+                    name + "chunked\r\n" + name + "chunked",
+                    name + "gzip\r\n" + name + "chunked"});
 }
 
 BOOST_AUTO_TEST_CASE(rejects_headers_and_bodies_that_are_too_large) {
@@ -430,6 +448,21 @@
         });
 }
 
+// Guards against a coded body that is passed on as a plain one.
+BOOST_AUTO_TEST_CASE(takes_no_response_with_another_coding_than_chunked) {
+    for (const std::string coding : {"gzip", "gzip, chunked", "identity", ""}) {
+        reactor loop;
+        const raw_server target(loop, [&](const raw_request&) {
+            return raw_reply{"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: " +
+                                 coding + "\r\n\r\n0\r\n\r\n",
+                             raw_reply::ending::closes};
+        });
+        stream_client client(loop, options_for_port(target.port()));
+        const auto result = run_call(loop, client, call_with_id("1"));
+        BOOST_TEST((result.failure == stream_failure::malformed), coding);
+    }
+}
+
 // Guards against a number that callers get as the status of their response.
 BOOST_AUTO_TEST_CASE(takes_no_status_that_a_response_cannot_have) {
     for (const std::string status :
