io: a reset that a write sees ends no response as complete

Cause: a failed write takes the error off the socket, and the next read sees an orderly end, which completes a body without a length.

Change: after a failed write the end of the connection completes nothing. A response that is whole by its own framing still counts.

Result: takes_no_reset_during_its_request_for_the_end_of_a_body (stream-test) is red before in 10 of 10 tries and passes.

--- a/source/io/src/stream_client.cpp
+++ b/source/io/src/stream_client.cpp
@@ -139,6 +139,8 @@
         std::string echo_header;
         std::string echo_value;
         bool is_connecting{};
+        /// A write failed.
+        bool is_broken{};
         bool is_head{};
         bool was_used{};
         duration idle_limit{};
@@ -255,10 +257,12 @@
         while (!it.out.empty()) {
             const auto next = it.out.front();
             const auto n = it.stream.send(next.data(), next.size());
-            // An error is left to the next read, which may find a response
-            // that arrived before the connection broke.
-            if (n <= 0)
+            // The next read may find a response that arrived before the
+            // connection broke, but no longer sees that it did.
+            if (n <= 0) {
+                it.is_broken = n < 0 && errno != EWOULDBLOCK && errno != EAGAIN;
                 break;
+            }
             it.out.consume(static_cast<std::size_t>(n));
         }
         charge(it);
@@ -283,7 +287,7 @@
         }
         if (n == 0) {
             const bool is_complete =
-                it.reader.read_end() == http1_state::complete;
+                !it.is_broken && it.reader.read_end() == http1_state::complete;
             if (is_complete && take_response(it) == response_kind::matching)
                 finish(it, false);
             else
--- a/source/io/test/stream_test.cpp
+++ b/source/io/test/stream_test.cpp
@@ -463,6 +463,22 @@
     }
 }
 
+// Guards against half of a body that counts as the whole: a write takes the
+// error of the reset, and the next read sees an orderly end.
+BOOST_AUTO_TEST_CASE(takes_no_reset_during_its_request_for_the_end_of_a_body) {
+    for (int n = 0; n < 10; ++n) {
+        reactor loop;
+        const scripted_server target(
+            loop, {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf|reset"});
+        stream_client client(loop, options_for_port(target.port));
+        auto call = call_with_id("1");
+        call.request.method = "POST";
+        call.request.body = std::string(std::size_t{20} << 20U, 'b');
+        const auto result = run_call(loop, client, std::move(call));
+        BOOST_TEST((result.failure == stream_failure::cut_off));
+    }
+}
+
 // Guards against a number that callers get as the status of their response.
 BOOST_AUTO_TEST_CASE(takes_no_status_that_a_response_cannot_have) {
     for (const std::string status :
