node: a lonely node takes the place of one that is gone on the list

Cause: nodes meet by up to six addresses in the store, which nobody removes. With the machines of all six gone, a node that starts meets nobody and isn't listed, as the list is full.

Change: a node that met nobody for three looks writes itself with a chance that doubles at each further look, and removes one of those that were listed at its first.

--- a/source/node/src/platform_agent.cpp
+++ b/source/node/src/platform_agent.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace redwingwind::node {
 
@@ -22,6 +23,11 @@
 /// The product's own kind of object: nodes that others may meet first.
 constexpr const char* meeting_kind = "redwingwind-nodes";
 constexpr std::uint32_t most_doublings = 5;
+/// A lonely node writes itself to a full list with a chance of 1 in 16 at its
+/// first look that allows it, twice that at each further one. Thousands that
+/// start together so stay within the store's rate.
+constexpr std::uint32_t first_chance = 16;
+constexpr std::uint32_t most_chance_doublings = 4;
 
 } // namespace
 
@@ -243,9 +249,45 @@
     hooks_.on_list(listed.objects.size() == 1 &&
                    listed.objects.front().key == own_key());
     list_self(listed);
+    look_alone(listed);
     return options_.lonely_interval;
 }
 
+void platform_agent::look_alone(const object_list& seen) {
+    if (hooks_.live_peers() > 0 || has_entry_ || is_leaving_) {
+        lonely_looks_ = 0;
+        return;
+    }
+    if (lonely_looks_++ == 0) {
+        unanswered_.clear();
+        for (const auto& it : seen.objects)
+            unanswered_.insert(it.key);
+    }
+    if (lonely_looks_ <= options_.lonely_looks)
+        return;
+    const auto doublings = std::min(lonely_looks_ - options_.lonely_looks - 1,
+                                    most_chance_doublings);
+    if (hooks_.random() % (first_chance >> doublings) != 0)
+        return;
+    write_entry();
+    if (seen.objects.size() >= options_.meeting_points)
+        remove_unanswered(seen);
+}
+
+void platform_agent::remove_unanswered(const object_list& seen) {
+    std::vector<object_key> candidates;
+    for (const auto& it : seen.objects)
+        if (it.key != own_key() && unanswered_.contains(it.key))
+            candidates.push_back(it.key);
+    if (candidates.empty())
+        return;
+    ++counters_.calls;
+    store_.remove(candidates[hooks_.random() % candidates.size()],
+                  [this](const absl::StatusOr<object>& removed) {
+                      note_era(era_of(removed));
+                  });
+}
+
 void platform_agent::meet(const object& listed) {
     const auto told = read_json(listed.content);
     if (!told.is_object() || !told.contains("meet") ||
@@ -268,6 +310,10 @@
     if (is_there ||
         (!has_entry_ && seen.objects.size() >= options_.meeting_points))
         return;
+    write_entry();
+}
+
+void platform_agent::write_entry() {
     nlohmann::json told;
     told["meet"] = coordination::to_string(self_);
     ++counters_.calls;
--- a/source/node/src/platform_agent.hpp
+++ b/source/node/src/platform_agent.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include "store_history.hpp"
@@ -32,6 +33,9 @@
     std::size_t meeting_points{6};
     /// A node without live peers looks into the store this often.
     duration lonely_interval{std::chrono::seconds(1)};
+    /// Looks at a full list after which a node that still met nobody may take
+    /// the place of an entry: those listed may all be gone for good.
+    std::uint32_t lonely_looks{3};
     /// After a change of the store's era, nodes read the configuration and
     /// look at the list of nodes at random times within this, or within more
     /// if the rates below would be exceeded.
@@ -114,6 +118,12 @@
     duration on_list(const absl::StatusOr<platform_adapter::object_list>& seen);
     void meet(const platform_adapter::object& listed);
     void list_self(const platform_adapter::object_list& seen);
+    /// Takes the place of an entry whose node never answered, sooner or later,
+    /// so that of many lonely nodes a few write and the others meet them.
+    void look_alone(const platform_adapter::object_list& seen);
+    void write_entry();
+    /// Removes one of those that were listed when this node first looked.
+    void remove_unanswered(const platform_adapter::object_list& seen);
     void on_listed(std::uint64_t era_at_sending,
                    const absl::StatusOr<platform_adapter::object>& made);
     duration pause(std::uint32_t failures);
@@ -133,6 +143,10 @@
     std::uint32_t late_in_a_row_{};
     /// Looks at the list in a row that failed.
     std::uint32_t list_failures_{};
+    /// Looks in a row by which this node had met nobody.
+    std::uint32_t lonely_looks_{};
+    /// Listed at the first of these.
+    std::set<platform_adapter::object_key> unanswered_;
     /// Whether the list needs no look for this node's own sake.
     bool is_listed_{};
     /// Whether an entry of this node was written or seen: it is written again
--- a/source/node/test/platform_agent_test.cpp
+++ b/source/node/test/platform_agent_test.cpp
@@ -25,6 +25,7 @@
 const std::string watch_path = "GET /objects/config?watch=";
 const std::string list_path = "GET /objects/redwingwind-nodes";
 const std::string create_path = "POST /objects/redwingwind-nodes";
+const std::string remove_path = "DELETE /objects/redwingwind-nodes/";
 
 std::string object_text(const std::string& name, std::uint64_t revision,
                         const std::string& spec) {
@@ -67,7 +68,7 @@
         h.is_holder = [this] { return is_holder; };
         h.on_contact = [](const coordination::address&) {};
         h.on_list = [this](bool is_only) { lists.push_back(is_only); };
-        h.live_peers = [] { return std::size_t{3}; };
+        h.live_peers = [this] { return live_peers; };
         h.on_store = [this](bool is_back, const absl::Status&) {
             losses += is_back ? 0 : 1;
         };
@@ -138,6 +139,7 @@
     io::http_client client;
     test::virtual_timers timers;
     bool is_holder{true};
+    std::size_t live_peers{3};
     std::vector<std::string> offered;
     /// For each list that was read, whether it named this node only.
     std::vector<bool> lists;
@@ -279,6 +281,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(an_agent_that_finds_a_full_list, agent_and_store)
+
+namespace {
+
+std::string six_others() {
+    std::string others = object_text("o0", 2, "{}");
+    for (int n = 1; n < 6; ++n)
+        others += "," + object_text("o" + std::to_string(n), 2, "{}");
+    return others;
+}
+
+} // namespace
+
+// Guards against nodes that never meet once all that are listed were replaced.
+BOOST_AUTO_TEST_CASE(takes_a_place_on_it_when_it_meets_nobody) {
+    live_peers = 0;
+    agent.start();
+    std::optional<io::http_server::exchange> create;
+    int looks = 0;
+    while (!create && looks < 10) {
+        answer(next(list_path), 0, 200, list_of("items", six_others(), 15));
+        ++looks;
+        timers.advance(virtual_step);
+        loop.run_until([&] { return (create = find(create_path)).has_value(); },
+                       50ms);
+    }
+    BOOST_REQUIRE(create.has_value());
+    // Nodes that restart together meet without it.
+    BOOST_TEST(looks > 3);
+    BOOST_TEST(looks <= 8);
+    answer(*create, 0, 201, object_text("self", 16, "{}"));
+    const auto remove = next(remove_path);
+    BOOST_TEST(remove.request.target.find("/o") != std::string::npos);
+    answer(remove, 0, 200, object_text("o1", 2, "{}"));
+    answer(next(list_path), 0, 200, list_of("items", six_others(), 17));
+    timers.advance(20s);
+    loop.run_until([] { return false; }, 100ms);
+    BOOST_TEST(!find(create_path).has_value());
+    BOOST_TEST(!find(remove_path).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(leaves_it_as_it_is_when_it_meets_a_node) {
+    live_peers = 0;
+    agent.start();
+    for (int n = 0; n < 3; ++n)
+        answer(next(list_path), 0, 200, list_of("items", six_others(), 15));
+    live_peers = 1;
+    timers.advance(20s);
+    loop.run_until([] { return false; }, 100ms);
+    BOOST_TEST(!find(create_path).has_value());
+    BOOST_TEST(!find(remove_path).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(an_agent_whose_store_tells_no_era, agent_and_store)
 
 // Guards against reads and writes that older stores did not cause before.
