--- a/source/relay/test/relay_test.cpp
+++ b/source/relay/test/relay_test.cpp
@@ -25,6 +25,18 @@
 const time_point start{std::chrono::seconds(100)};
 constexpr std::uint64_t wall_ms = 5000;
 
+target_announcement heartbeat_of(const std::string& instance,
+                                 std::uint64_t started_ms,
+                                 std::uint64_t sequence) {
+    target_announcement it;
+    it.instance = instance;
+    it.service = {"orders"};
+    it.slots = 1;
+    it.started_ms = started_ms;
+    it.sequence = sequence;
+    return it;
+}
+
 route make_route(const std::string& name, const std::string& prefix,
                  bool is_idempotent) {
     route it;
@@ -141,12 +153,7 @@
 /// A target dispatcher with a ready target of one slot.
 struct dispatcher_fixture {
     dispatcher_fixture() : it(options(), hooks()) {
-        target_announcement announcement;
-        announcement.instance = "i-1";
-        announcement.service = {"orders"};
-        announcement.slots = 1;
-        announcement.started_ms = 1000;
-        announcement.sequence = 1;
+        auto announcement = heartbeat_of("i-1", 1000, 1);
         it.announce(start, announcement);
     }
 
@@ -704,12 +711,7 @@
 
 BOOST_AUTO_TEST_CASE(ignores_a_late_heartbeat_of_an_earlier_incarnation) {
     dispatcher_fixture node;
-    target_announcement newer;
-    newer.instance = "i-2";
-    newer.service = {"orders"};
-    newer.slots = 1;
-    newer.started_ms = 2000;
-    newer.sequence = 1;
+    auto newer = heartbeat_of("i-2", 2000, 1);
     node.it.announce(start, newer);
     auto older = newer;
     older.instance = "i-1";
@@ -728,12 +730,7 @@
 BOOST_AUTO_TEST_CASE(ignores_a_late_heartbeat_of_a_target_that_left) {
     dispatcher_fixture node;
     node.it.withdraw_target(start, "i-1", wall_ms);
-    target_announcement late;
-    late.instance = "i-1";
-    late.service = {"orders"};
-    late.slots = 1;
-    late.started_ms = 1000;
-    late.sequence = 2;
+    auto late = heartbeat_of("i-1", 1000, 2);
     BOOST_TEST(!node.it.announce(start + ms(2000), late));
     BOOST_TEST((node.state == target_state::draining));
     node.receive_call(1, false);
@@ -744,12 +741,7 @@
 // Guards against a heartbeat of before the departure that an earlier life of
 // the node was told.
 BOOST_AUTO_TEST_CASE(uses_a_target_in_doubt_once_it_is_confirmed) {
-    target_announcement said;
-    said.instance = "i-2";
-    said.service = {"orders"};
-    said.slots = 1;
-    said.started_ms = 4000;
-    said.sequence = 1;
+    auto said = heartbeat_of("i-2", 4000, 1);
     const auto until = start + target_statements::max_delay;
     for (const bool is_told_late : {false, true}) {
         dispatcher_fixture node;
@@ -776,12 +768,7 @@
 // Guards against late heartbeats that confirm each other, at a node that others
 // told which target departs.
 BOOST_AUTO_TEST_CASE(does_not_use_a_target_that_an_earlier_life_saw_leave) {
-    target_announcement late;
-    late.instance = "i-1";
-    late.service = {"orders"};
-    late.slots = 1;
-    late.started_ms = 1000;
-    late.sequence = 2;
+    auto late = heartbeat_of("i-1", 1000, 2);
     for (const bool is_told_first : {false, true}) {
         dispatcher_fixture node;
         const auto until = start + target_statements::max_delay;
@@ -808,12 +795,7 @@
 BOOST_AUTO_TEST_CASE(keeps_a_new_target_when_the_one_before_is_denied) {
     dispatcher_fixture node;
     node.receive_call(1);
-    target_announcement newer;
-    newer.instance = "i-2";
-    newer.service = {"orders"};
-    newer.slots = 1;
-    newer.started_ms = 2000;
-    newer.sequence = 1;
+    auto newer = heartbeat_of("i-2", 2000, 1);
     node.it.announce(start, newer);
     node.it.on_target_result(start, node.dispatched.back().execution,
                              {target_outcome::other_instance, {}, false});
