--- a/source/coordination/test/membership_test.cpp
+++ b/source/coordination/test/membership_test.cpp
@@ -285,14 +285,14 @@
     fake_network network(11, 6);
     network.run(8s);
     auto& members = *network.nodes_[0].members;
-    // Heard of after the connection was opened: the later life, maybe.
+    // A node first heard of after the connection was opened is kept.
     BOOST_TEST(
         !members.declare_replaced(network.now_, {"n4"}, network.now_ - 10s));
     BOOST_TEST(members.declare_replaced(network.now_, {"n4"}, network.now_));
     BOOST_TEST(int(network.state_seen_by(0, 4)) == int(member_state::dead));
     BOOST_TEST(!members.declare_replaced(network.now_, {"n4"}, network.now_));
     BOOST_TEST(!members.declare_replaced(network.now_, {"n9"}, network.now_));
-    // It lives and objects.
+    // A node that is alive raises its version.
     network.run(10s);
     BOOST_TEST(network.all_agree_alive());
 }
--- a/source/integration/test/departure_test.cpp
+++ b/source/integration/test/departure_test.cpp
@@ -52,8 +52,8 @@
         BOOST_REQUIRE(places.wait_ready());
     }
 
-    /// Heartbeats of before the departure, held up by a partition. A node that
-    /// was started without the store tells by nothing else that it listens.
+    /// Delivers heartbeats that were sent before the departure. The first is
+    /// repeated until the node listens.
     void deliver_late_heartbeats() {
         for (int n = 0; n < late_heartbeats; ++n) {
             BOOST_REQUIRE(http.wait_until(
--- a/source/node/src/platform_agent.cpp
+++ b/source/node/src/platform_agent.cpp
@@ -23,9 +23,9 @@
 /// The product's own kind of object: nodes that others may meet first.
 constexpr const char* meeting_kind = "redwingwind-nodes";
 constexpr std::uint32_t most_doublings = 5;
-/// A lonely node writes itself to a full list with a chance of 1 in 16 at its
-/// first look that allows it, twice that at each further one. Thousands that
-/// start together so stay within the store's rate.
+/// A node without peers writes itself to a full list with a probability of 1 in
+/// first_chance, which doubles at each further look. It keeps the writes of a
+/// whole deployment that starts at once within the store's rate.
 constexpr std::uint32_t first_chance = 16;
 constexpr std::uint32_t most_chance_doublings = 4;
 
--- a/source/node/src/platform_agent.hpp
+++ b/source/node/src/platform_agent.hpp
@@ -33,8 +33,8 @@
     std::size_t meeting_points{6};
     /// A node without live peers looks into the store this often.
     duration lonely_interval{std::chrono::seconds(1)};
-    /// Looks at a full list after which a node that still met nobody may take
-    /// the place of an entry: those listed may all be gone for good.
+    /// Looks at a full list after which a node without peers may replace an
+    /// entry.
     std::uint32_t lonely_looks{3};
     /// After a change of the store's era, nodes read the configuration and
     /// look at the list of nodes at random times within this, or within more
@@ -118,8 +118,8 @@
     duration on_list(const absl::StatusOr<platform_adapter::object_list>& seen);
     void meet(const platform_adapter::object& listed);
     void list_self(const platform_adapter::object_list& seen);
-    /// Takes the place of an entry whose node never answered, sooner or later,
-    /// so that of many lonely nodes a few write and the others meet them.
+    /// Replaces an entry whose node did not answer. Of many nodes without peers
+    /// a few do so, and the others find these.
     void look_alone(const platform_adapter::object_list& seen);
     void write_entry();
     /// Removes one of those that were listed when this node first looked.
