--- a/source/engine/test/fake_cluster.cpp
+++ b/source/engine/test/fake_cluster.cpp
@@ -251,7 +251,7 @@
         return;
     if (next == route.calls.size()) {
         const bool fails = double(random() % 1000) < route.failure_share * 1000;
-        target_result result{target_end::answered, 200, "text/plain",
+        target_result result{target_end::answered, route.status, "text/plain",
                              request.root.value};
         if (fails)
             result = {target_end::unknown, 503, "", ""};
--- a/source/engine/test/fake_cluster.hpp
+++ b/source/engine/test/fake_cluster.hpp
@@ -21,6 +21,7 @@
     std::vector<std::string> calls;
     /// Share of executions, 0 to 1, that end with an unknown outcome.
     double failure_share{};
+    std::uint16_t status{200};
 };
 
 struct execution_record {
--- a/source/engine/test/node_core_test.cpp
+++ b/source/engine/test/node_core_test.cpp
@@ -76,6 +76,24 @@
     BOOST_TEST(int(response->value.why) == int(error_code::no_target));
 }
 
+// Guards against a peer of an earlier version, which passes on any number that
+// its target sends in the place of a status.
+BOOST_AUTO_TEST_CASE(with_no_status_of_a_response_end_as_unknown) {
+    for (const std::uint16_t status : {0, 101, 600, 999}) {
+        fake_cluster cluster(6);
+        cluster.add(0, "front", 8, {});
+        fake_route odd;
+        odd.status = status;
+        cluster.add(1, "odd", 8, {{"/work", odd}});
+        cluster.run(8s);
+        const auto response = cluster.call(0, make_call("/odd/work", "", "r1"));
+        cluster.run(3s);
+        BOOST_REQUIRE(response->has_arrived);
+        BOOST_TEST(int(response->value.what) == int(outcome::unknown));
+        BOOST_TEST(response->value.status == 504);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE(with_bad_input)
 
 BOOST_AUTO_TEST_CASE(are_rejected_with_status_400_and_not_executed) {
