integration: nodes that are back at once lose no call

Change: half of the nodes are killed and started again while the limits of 24 owners are in force; calls of 0.4 s go through another one. Counted are those that were broken off; a 429 or 503 tells that a call did not run.

--- a/source/integration/test/owner_limits_test.cpp
+++ b/source/integration/test/owner_limits_test.cpp
@@ -2,8 +2,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 using namespace redwingwind;
 using namespace redwingwind::integration;
@@ -58,6 +61,63 @@
     bool has_retry_after{true};
 };
 
+/// Nodes of two services, and so many owners that each node, also the earlier
+/// life of one that was restarted, grants the limits of some.
+struct places_of_many_owners {
+    static constexpr std::size_t owners = 24;
+    /// Fewer than the slots of the targets of a service.
+    static constexpr std::size_t clients = 12;
+
+    places_of_many_owners() : places(http, {"front", "front", "back", "back"}) {
+        std::vector<test_owner> all;
+        for (std::size_t n = 0; n < owners; ++n)
+            all.push_back({"owner-" + std::to_string(n), key_of(n), 100, 100});
+        places.set_owners(std::move(all));
+        places.configure(1);
+        for (std::size_t n = 0; n < places.size(); ++n)
+            places.at(n).target->run_by(
+                [this](const seen_request&, const test_target::end_run& end) {
+                    http.loop().after(400ms, [end] { end(200); });
+                });
+        BOOST_REQUIRE(places.wait_served());
+    }
+
+    static std::string key_of(std::size_t owner) {
+        return "key-" + std::to_string(owner % owners);
+    }
+
+    /// Calls of all owners through a node, one after another from each client,
+    /// for a time; the calls by their status.
+    std::map<int, int> run_through(std::size_t node, duration time) {
+        std::map<int, int> by_status;
+        std::size_t open = 0;
+        const auto end = steady_now() + time;
+        const std::function<void(std::size_t)> next = [&](std::size_t n) {
+            if (steady_now() >= end)
+                return;
+            auto call = places.make_call(node, "/back/x",
+                                         "id-" + std::to_string(++sent));
+            call.headers.push_back({"Api-Key", key_of(n)});
+            ++open;
+            client.start(call, [&, n](const io::http_result& result) {
+                --open;
+                ++by_status[result.response.status];
+                next(n + clients);
+            });
+        };
+        for (std::size_t n = 0; n < clients; ++n)
+            next(n);
+        BOOST_REQUIRE(http.wait_until(
+            [&] { return steady_now() >= end && open == 0; }, time + 10s));
+        return by_status;
+    }
+
+    http_caller http;
+    io::http_client client{http.loop(), 64};
+    platform_deployment places;
+    std::uint64_t sent{};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(owners_with_limits)
@@ -93,4 +153,33 @@
     BOOST_TEST(of_hot[200] <= bound);
 }
 
+// Guards against frames for the life before a restart that end the links in
+// use, and the calls on them.
+BOOST_FIXTURE_TEST_CASE(lose_no_call_to_nodes_that_are_back_at_once,
+                        places_of_many_owners) {
+    // Nodes that were just started refuse the calls of limited owners.
+    constexpr int tries = 10;
+    int refusals = 1;
+    for (int n = 0; n < tries && refusals > 0; ++n)
+        refusals = run_through(0, 1s)[429];
+    BOOST_REQUIRE(refusals == 0);
+    const std::vector<std::size_t> restarted{1, 2};
+    for (const auto n : restarted) {
+        places.at(n).node->signal(SIGKILL);
+        places.at(n).node->wait(5s);
+    }
+    for (const auto n : restarted)
+        places.start_node(n);
+    BOOST_REQUIRE(places.wait_served());
+    const auto by_status = run_through(0, 5s);
+    for (const auto& [status, calls] : by_status)
+        BOOST_TEST_MESSAGE(status << ": " << calls);
+    // 429 and 503 tell that a call did not run.
+    int lost = 0;
+    for (const auto& [status, calls] : by_status)
+        lost += status == 200 || status == 429 || status == 503 ? 0 : calls;
+    BOOST_TEST(lost == 0);
+    BOOST_TEST(by_status.contains(200));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
