--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -35,7 +35,7 @@
 
 
 def free_ports(count):
-    """Ports that are free on all loopback addresses at this moment."""
+    """Ports that are free at this moment."""
     for _ in range(200):
         base = random.randrange(20000, 30000)
         held = []
@@ -43,7 +43,7 @@
             for port in range(base, base + count):
                 s = socket.socket()
                 held.append(s)
-                s.bind(("0.0.0.0", port))
+                s.bind(("127.0.0.1", port))
             return base
         except OSError:
             continue
